--- /dev/null
+++ b/packages/clementineloft/src/lib/adapters.ts
@@ -0,0 +1,20 @@
+/**
+ * Registries of the adapters through which everything outside the system is met. Each adapter registers itself.
+ */
+import type { InstanceList, ObjectStore } from '@clementineloft/coordination'
+import { PluginRegistry } from '@clementineloft/kernel'
+import type { Clock, Metrics } from '@clementineloft/kernel'
+import type { ModelEngine } from '@clementineloft/routing'
+import type { PlainService } from './plain-service.js'
+
+/** Adapters of the platform's object API. */
+export const objectStores = new PluginRegistry<(url: string, timeoutMs: number, metrics: Metrics) => ObjectStore>('object store')
+
+/** Adapters of the platform's list of instances. */
+export const instanceLists = new PluginRegistry<(url: string, timeoutMs: number) => InstanceList>('instance list')
+
+/** Adapters of model engines. */
+export const modelEngines = new PluginRegistry<(url: string, timeoutMs: number, clock: Clock) => ModelEngine>('model engine')
+
+/** Adapters of plain services. */
+export const plainServices = new PluginRegistry<(url: string, timeoutMs: number) => PlainService>('plain service')
--- /dev/null
+++ b/packages/clementineloft/src/lib/admin-server.ts
@@ -0,0 +1,104 @@
+/**
+ * Health, metrics and time line of one process, and the operators' calls, on an address of their own.
+ */
+import { createServer } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { createError, ErrorKind } from '@clementineloft/kernel'
+import { sendError, sendJson } from './http-server.js'
+import type { ProcessContext } from './process-context.js'
+
+/** Answers a request on a path; the result is sent as JSON. */
+export type AdminHandler = (request: IncomingMessage, url: URL) => Promise<unknown> | unknown
+
+/** Serves operators and the platform's health checks. */
+export class AdminServer {
+  private readonly routes = new Map<string, AdminHandler>()
+  private readonly server = createServer((request, response) => { void this.handle(request, response) })
+  private readonly membershipListeners: Array<() => void> = []
+
+  constructor (private readonly context: ProcessContext) {
+    this.addRoute('GET /timeline', () => context.journal.list())
+    this.addRoute('GET /status', () => this.describe())
+    context.metrics.registerGauge('config_revision', () => context.replica.getRevision())
+    context.metrics.registerGauge('process_resident_bytes', () => process.memoryUsage.rss())
+    context.metrics.registerGauge('process_heap_bytes', () => process.memoryUsage().heapUsed)
+    context.metrics.registerGauge('process_cpu_microseconds', () => process.cpuUsage().user + process.cpuUsage().system)
+  }
+
+  /**
+   * @param route - method and path, such as `POST /plans`
+   * @param handler - gives the answer
+   */
+  addRoute (route: string, handler: AdminHandler): void {
+    this.routes.set(route, handler)
+  }
+
+  /** @param listener - called after each change of the list of instances */
+  subscribeMembership (listener: () => void): void {
+    this.membershipListeners.push(listener)
+  }
+
+  /** Tells all listeners that the list of instances has changed. */
+  notifyMembership (): void {
+    for (const listener of this.membershipListeners) listener()
+  }
+
+  /** @param address - where to listen, `ip:port` */
+  listen (address: string): Promise<void> {
+    const [host, port] = address.split(':') as [string, string]
+    return new Promise((resolve, reject) => {
+      this.server.once('error', (error) => {
+        reject(createError(ErrorKind.settingsInvalid, `cannot listen on "${address}": ${error.message}`))
+      })
+      this.server.listen(Number(port), host, resolve)
+    })
+  }
+
+  /** Stops listening. */
+  close (): void {
+    this.server.close()
+    this.server.closeAllConnections()
+  }
+
+  /** @returns whether this process takes new work */
+  isReady (): boolean {
+    return this.context.replica.getRevision() > 0 && !this.context.isLeaving
+  }
+
+  private describe (): unknown {
+    const { settings, incarnation, replica, membership, isLeaving } = this.context
+    return {
+      instance: settings.instance.name,
+      dataCentre: settings.instance.data_centre,
+      incarnation,
+      isLeaving,
+      revision: replica.getRevision(),
+      instances: membership.list().map((instance) => ({ ...instance, isServing: membership.isServing(instance.name) }))
+    }
+  }
+
+  private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://localhost')
+    const route = `${request.method} ${url.pathname}`
+    if (route === 'GET /healthz') {
+      sendJson(response, 200, { status: 'ok' })
+      return
+    }
+    if (route === 'GET /readyz') {
+      sendJson(response, this.isReady() ? 200 : 503, { isReady: this.isReady() })
+      return
+    }
+    if (route === 'GET /metrics') {
+      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
+      response.end(this.context.metrics.render())
+      return
+    }
+    try {
+      const handler = this.routes.get(route)
+      if (handler === undefined) throw createError(ErrorKind.notFound, `there is no "${route}" here`)
+      sendJson(response, 200, await handler(request, url))
+    } catch (error) {
+      sendError(request, response, error)
+    }
+  }
+}
--- /dev/null
+++ b/packages/clementineloft/src/lib/command-line.ts
@@ -0,0 +1,76 @@
+/**
+ * The command line.
+ */
+import { cac } from 'cac'
+import { checkSettings, createError, ErrorKind, formatFault, getErrorMessage } from '@clementineloft/kernel'
+import { runEntry } from './entry.js'
+import { loadSettings, readSettingsFile } from './load-settings.js'
+import { ProcessContext } from './process-context.js'
+import { settingsSchema } from './settings-schema.js'
+import type { Settings } from './settings-schema.js'
+import { runSidecar } from './sidecar.js'
+import './http-instance-list.js'
+import './http-model-engine.js'
+import './http-object-store.js'
+import './http-plain-service.js'
+
+const version = '0.1.0'
+
+const print = (text: string): void => { process.stdout.write(`${text}\n`) }
+
+const serve = async (role: Settings['role'], file: string): Promise<void> => {
+  const settings = loadSettings(file)
+  if (settings.role !== role) {
+    throw createError(ErrorKind.settingsInvalid, `"${file}" is for role "${settings.role}"; run "clementineloft ${settings.role} ${file}"`)
+  }
+  const context = new ProcessContext(settings)
+  const stop = settings.role === 'entry' ? await runEntry(context, settings) : await runSidecar(context, settings)
+  context.log.info({ event: 'started', role, incarnation: context.incarnation })
+  let isStopping = false
+  const handleSignal = (): void => {
+    if (isStopping) return
+    isStopping = true
+    stop().then(() => { process.exit(0) }, (error: unknown) => {
+      context.log.error({ event: 'shutdown-failed', message: getErrorMessage(error) })
+      process.exit(1)
+    })
+  }
+  process.on('SIGTERM', handleSignal)
+  process.on('SIGINT', handleSignal)
+}
+
+const check = (file: string): void => {
+  const { faults } = checkSettings(readSettingsFile(file), settingsSchema)
+  if (faults.length === 0) {
+    print(`${file}: ok`)
+    return
+  }
+  for (const fault of faults) print(`${file}: ${formatFault(fault)}`)
+  process.exitCode = 1
+}
+
+/**
+ * Runs a command.
+ *
+ * @param argv - arguments of the process, with the two that Node puts first
+ */
+export const runCommandLine = async (argv: string[]): Promise<void> => {
+  const program = cac('clementineloft')
+  program.command('entry <settings>', 'Serve callers').action(async (file: string) => { await serve('entry', file) })
+  program.command('sidecar <settings>', 'Guard the endpoint beside it').action(async (file: string) => { await serve('sidecar', file) })
+  program.command('check <settings>', 'Check a settings file and list every fault').action(check)
+  program.help()
+  program.version(version)
+  try {
+    program.parse(argv, { run: false })
+    if (program.matchedCommand === undefined && program.options['help'] !== true && program.options['version'] !== true) {
+      program.outputHelp()
+      process.exitCode = 1
+      return
+    }
+    await program.runMatchedCommand()
+  } catch (error) {
+    process.stderr.write(`clementineloft: ${getErrorMessage(error)}\n`)
+    process.exitCode = 1
+  }
+}
--- /dev/null
+++ b/packages/clementineloft/src/lib/config-document.ts
@@ -0,0 +1,61 @@
+/**
+ * The configuration that operators change: teams with their terms, models, endpoints and plain services.
+ */
+import { z } from 'zod'
+
+const teamSchema = z.strictObject({
+  /** Teams of a lower class wait for those of a higher one. */
+  class: z.enum(['paying', 'late', 'unpaid']),
+  weight: z.number().positive().max(1000),
+  maxInFlight: z.int().min(1).optional(),
+  /** SHA-256 of each API key, in hexadecimal. */
+  keyDigests: z.array(z.string().regex(/^[0-9a-f]{64}$/))
+})
+
+const modelSchema = z.strictObject({ layers: z.int().min(1) })
+
+const endpointSchema = z.strictObject({
+  state: z.enum(['serving', 'leaving', 'retired']),
+  dataCentre: z.string(),
+  model: z.string().optional(),
+  firstLayer: z.int().min(0).optional(),
+  lastLayer: z.int().min(0).optional(),
+  tokensPerSecond: z.number().positive().optional(),
+  service: z.string().optional()
+})
+
+const serviceSchema = z.strictObject({
+  /** Methods whose repetition does no harm. */
+  idempotentMethods: z.array(z.string()),
+  /** Number of key ranges, each owned by one endpoint at a time. */
+  keyRanges: z.int().min(1).max(1024)
+})
+
+const linkSchema = z.strictObject({ from: z.string(), to: z.string(), tokensPerSecond: z.number().positive() })
+
+/** Schema of the configuration document. */
+export const configSchema = z.strictObject({
+  teams: z.record(z.string(), teamSchema),
+  models: z.record(z.string(), modelSchema),
+  endpoints: z.record(z.string(), endpointSchema),
+  services: z.record(z.string(), serviceSchema),
+  links: z.array(linkSchema)
+})
+
+export type ConfigDocument = z.infer<typeof configSchema>
+export type TeamTerms = z.infer<typeof teamSchema>
+export type EndpointConfig = z.infer<typeof endpointSchema>
+export type ServiceConfig = z.infer<typeof serviceSchema>
+
+/** Key of the configuration's object in the store. */
+export const configKey = 'config/current'
+
+/** Share of a class relative to others: paying teams come first, yet nobody starves. */
+const classShares: Readonly<Record<TeamTerms['class'], number>> = { paying: 1000, late: 30, unpaid: 1 }
+
+/**
+ * @param terms - terms of a team; `undefined` for a team that is not configured
+ * @returns its weight in fair queues
+ */
+export const computeWeight = (terms: TeamTerms | undefined): number =>
+  terms === undefined ? classShares.unpaid : classShares[terms.class] * terms.weight
--- /dev/null
+++ b/packages/clementineloft/src/lib/endpoint-directory.ts
@@ -0,0 +1,115 @@
+/**
+ * The endpoints as one entry sees them: configuration, instance list, and what it has seen fail.
+ */
+import type { Membership } from '@clementineloft/coordination'
+import type { Clock } from '@clementineloft/kernel'
+import { ModelGraph } from '@clementineloft/routing'
+import type { StageEndpoint } from '@clementineloft/routing'
+import type { ConfigDocument } from './config-document.js'
+
+const cooldownMs = 3000
+const defaultTokensPerSecond = 1000
+const defaultLinkTokensPerSecond = 1_000_000
+
+/** An endpoint of a plain service. */
+export interface ServiceEndpoint {
+  name: string
+  address: string
+  dataCentre: string
+}
+
+/** Joins what is known of endpoints. */
+export class EndpointDirectory {
+  private graphs = new Map<string, ModelGraph>()
+  private services = new Map<string, ServiceEndpoint[]>()
+  private document: ConfigDocument | undefined
+  private readonly avoidedUntilMs = new Map<string, number>()
+
+  constructor (
+    private readonly membership: Membership,
+    private readonly clock: Clock
+  ) {}
+
+  /** Takes a new configuration into use. */
+  applyConfig (document: ConfigDocument): void {
+    this.document = document
+    this.rebuild()
+  }
+
+  /** Takes a new list of instances into use. */
+  rebuild (): void {
+    const { document } = this
+    if (document === undefined) return
+    this.graphs = new Map()
+    this.services = new Map()
+    for (const [model, { layers }] of Object.entries(document.models)) {
+      this.graphs.set(model, new ModelGraph(layers, this.listStages(document, model), (from, to) => this.getLinkCapacity(from, to)))
+    }
+    for (const service of Object.keys(document.services)) this.services.set(service, this.listWorkers(document, service))
+  }
+
+  /** @returns the graph of a model, or `undefined` for an unknown model */
+  findGraph (model: string): ModelGraph | undefined {
+    return this.graphs.get(model)
+  }
+
+  /** @returns the endpoints of a plain service, leaving ones left out, or `undefined` for an unknown service */
+  findService (service: string): ServiceEndpoint[] | undefined {
+    return this.services.get(service)?.filter((endpoint) => this.isUsable(endpoint.name))
+  }
+
+  /** @returns an endpoint of a plain service, whatever its state */
+  findServiceEndpoint (service: string, name: string): ServiceEndpoint | undefined {
+    return this.services.get(service)?.find((endpoint) => endpoint.name === name)
+  }
+
+  /** @returns whether new work may go to an endpoint */
+  isUsable (name: string): boolean {
+    if (this.document?.endpoints[name]?.state !== 'serving') return false
+    return this.membership.isServing(name) && (this.avoidedUntilMs.get(name) ?? 0) <= this.clock.now()
+  }
+
+  /**
+   * Sends no new work to an endpoint for a while, because it failed.
+   *
+   * @param name - name of the endpoint
+   */
+  avoid (name: string): void {
+    this.avoidedUntilMs.set(name, this.clock.now() + cooldownMs)
+  }
+
+  /** @returns names of all configured endpoints that have an instance */
+  listNames (): Set<string> {
+    const names = Object.keys(this.document?.endpoints ?? {})
+    return new Set(names.filter((name) => this.membership.find(name) !== undefined))
+  }
+
+  private listStages (document: ConfigDocument, model: string): StageEndpoint[] {
+    return Object.entries(document.endpoints).flatMap(([name, endpoint]): StageEndpoint[] => {
+      const instance = this.membership.find(name)
+      if (endpoint.model !== model || endpoint.state !== 'serving' || instance === undefined) return []
+      return [{
+        name,
+        address: instance.address,
+        dataCentre: endpoint.dataCentre,
+        model,
+        firstLayer: endpoint.firstLayer ?? 0,
+        lastLayer: endpoint.lastLayer ?? 0,
+        tokensPerSecond: endpoint.tokensPerSecond ?? defaultTokensPerSecond
+      }]
+    })
+  }
+
+  private listWorkers (document: ConfigDocument, service: string): ServiceEndpoint[] {
+    return Object.entries(document.endpoints).flatMap(([name, endpoint]): ServiceEndpoint[] => {
+      const instance = this.membership.find(name)
+      if (endpoint.service !== service || instance === undefined) return []
+      return [{ name, address: instance.address, dataCentre: endpoint.dataCentre }]
+    })
+  }
+
+  private getLinkCapacity (from: string, to: string): number {
+    const link = this.document?.links.find((candidate) => candidate.from === from && candidate.to === to)
+    return link?.tokensPerSecond ?? defaultLinkTokensPerSecond
+  }
+}
--- /dev/null
+++ b/packages/clementineloft/src/lib/http-model-engine.ts
@@ -0,0 +1,97 @@
+/**
+ * Adapter of a model engine over HTTP. Steps of the same turn of the event loop travel in one call, for the engine to
+ * batch.
+ */
+import { createError, ErrorKind, getErrorMessage } from '@clementineloft/kernel'
+import { ModelEngine } from '@clementineloft/routing'
+import type { EngineStep, StageOutput } from '@clementineloft/routing'
+import { modelEngines } from './adapters.js'
+import { HttpClient } from './http-client.js'
+import type { HttpReply } from './http-client.js'
+
+interface PendingStep {
+  step: EngineStep
+  resolve: (outputs: StageOutput[]) => void
+  reject: (error: unknown) => void
+}
+
+/** A result of one step, as the engine's API gives it. */
+interface StepResult {
+  session?: string
+  position?: number
+  /** Activations in base64. */
+  rows?: string[]
+  tokens?: Array<{ row: string, text: string, isLast: boolean }>
+  error?: string
+}
+
+const decodeRow = (row: string): Uint8Array => Buffer.from(row, 'base64')
+
+const encodeRow = (row: Uint8Array): string => Buffer.from(row).toString('base64')
+
+/** Speaks `POST /v1/encode`, `/v1/steps` and `/v1/end`. */
+export class HttpModelEngine extends ModelEngine {
+  private readonly client = new HttpClient()
+  private pending: PendingStep[] = []
+
+  constructor (
+    private readonly url: string,
+    private readonly timeoutMs: number
+  ) {
+    super()
+  }
+
+  override async encode (model: string, text: string): Promise<Uint8Array[]> {
+    const reply = await this.post('/v1/encode', { model, text })
+    return (JSON.parse(reply.body.toString()) as { rows: string[] }).rows.map(decodeRow)
+  }
+
+  override runStep (step: EngineStep): Promise<StageOutput[]> {
+    return new Promise((resolve, reject) => {
+      this.pending.push({ step, resolve, reject })
+      if (this.pending.length === 1) setImmediate(() => { void this.sendPending() })
+    })
+  }
+
+  override endSession (session: string): void {
+    this.post('/v1/end', { session }).catch(() => {
+      // An engine that is gone holds no session.
+    })
+  }
+
+  private async sendPending (): Promise<void> {
+    const batch = this.pending
+    this.pending = []
+    const steps = batch.map(({ step }) => ({ ...step, rows: step.rows.map(encodeRow) }))
+    try {
+      const reply = await this.post('/v1/steps', { steps })
+      const { results } = JSON.parse(reply.body.toString()) as { results: StepResult[] }
+      batch.forEach((pending, index) => { this.settle(pending, results[index]) })
+    } catch (error) {
+      const failure = createError(ErrorKind.endpointFailed, `engine failed: ${getErrorMessage(error)}`, { cause: error })
+      for (const pending of batch) pending.reject(failure)
+    }
+  }
+
+  private settle (pending: PendingStep, result: StepResult | undefined): void {
+    const { step } = pending
+    if (result?.session !== step.session || result.position !== step.position) {
+      pending.reject(createError(ErrorKind.endpointFailed, 'engine answered for another request'))
+      return
+    }
+    if (result.error !== undefined) {
+      pending.reject(createError(ErrorKind.badRequest, `engine refused the step: ${result.error}`))
+      return
+    }
+    const tokens = result.tokens?.map((token): StageOutput => ({ ...token, row: decodeRow(token.row) }))
+    pending.resolve(tokens ?? (result.rows ?? []).map(decodeRow))
+  }
+
+  private async post (path: string, body: unknown): Promise<HttpReply> {
+    const reply = await this.client.sendJson('POST', new URL(path, this.url), body, this.timeoutMs)
+    if (reply.status === 200) return reply
+    throw createError(ErrorKind.endpointFailed, `engine answered ${reply.status} to ${path}`)
+  }
+}
+
+modelEngines.register('http', (url, timeoutMs) => new HttpModelEngine(url, timeoutMs))
--- /dev/null
+++ b/packages/clementineloft/src/lib/link-pool.ts
@@ -0,0 +1,80 @@
+/**
+ * The links of one process, one for each sidecar that it talks to.
+ */
+import type { ChannelCredentials } from '@grpc/grpc-js'
+import type { Frame } from '@clementineloft/routing'
+import type { clementineloft as wire } from '../../generated/wire.js'
+import type { ProcessContext } from './process-context.js'
+import { StageLink } from './stage-link.js'
+
+/** Receives what happens on the links of a pool. */
+export abstract class LinkListener {
+  /** Called for each frame from a sidecar. */
+  abstract handleFrame (endpoint: string, frame: Frame): void
+  /** Called after the header of each message from a sidecar. */
+  abstract handleHeader (endpoint: string, header: wire.IHeader): void
+  /** Called once for each lost link. */
+  abstract handleLost (endpoint: string, cause: string): void
+}
+
+/** Opens links when they are first needed. */
+export class LinkPool {
+  private readonly links = new Map<string, StageLink>()
+
+  constructor (
+    private readonly context: ProcessContext,
+    private readonly channelCredentials: ChannelCredentials,
+    private readonly listener: LinkListener
+  ) {}
+
+  /** @returns number of open links */
+  countLinks (): number {
+    return this.links.size
+  }
+
+  /**
+   * @param endpoint - name of the endpoint
+   * @param address - address of its sidecar, `ip:port`
+   * @param frame - frame to send
+   */
+  send (endpoint: string, address: string, frame: Frame): void {
+    this.getLink(endpoint, address).send(frame)
+  }
+
+  /** @param names - endpoints that still exist; links to all others are closed */
+  retain (names: ReadonlySet<string>): void {
+    for (const [endpoint, link] of this.links) {
+      if (names.has(endpoint)) continue
+      link.close()
+      this.links.delete(endpoint)
+      this.listener.handleLost(endpoint, 'the endpoint no longer exists')
+    }
+  }
+
+  /** Closes all links. */
+  close (): void {
+    for (const link of this.links.values()) link.close()
+    this.links.clear()
+  }
+
+  private getLink (endpoint: string, address: string): StageLink {
+    const known = this.links.get(endpoint)
+    if (known?.address === address) return known
+    known?.close()
+    const link = new StageLink(address, this.context, this.channelCredentials, {
+      handleBatch: (batch) => { this.handleBatch(endpoint, batch) },
+      handleLost: (cause) => {
+        if (this.links.get(endpoint) === link) this.links.delete(endpoint)
+        this.listener.handleLost(endpoint, cause)
+      }
+    })
+    this.links.set(endpoint, link)
+    return link
+  }
+
+  private handleBatch (endpoint: string, batch: wire.IBatch): void {
+    this.context.mergeHeader(batch.header)
+    if (batch.header != null) this.listener.handleHeader(endpoint, batch.header)
+    for (const frame of batch.frames ?? []) this.listener.handleFrame(endpoint, frame as Frame)
+  }
+}
--- /dev/null
+++ b/packages/clementineloft/src/lib/node-runtime.ts
@@ -0,0 +1,169 @@
+/**
+ * What entry and sidecar have in common: the gRPC server, configuration, instance list, admin server and shutdown.
+ */
+import { Server, ServerCredentials } from '@grpc/grpc-js'
+import type { ChannelCredentials, ServiceDefinition, UntypedServiceImplementation } from '@grpc/grpc-js'
+import { ConfigSpread, StoreRecord } from '@clementineloft/coordination'
+import type { ConfigSnapshot, Instance, ObjectStore } from '@clementineloft/coordination'
+import { createError, ErrorKind, getErrorMessage } from '@clementineloft/kernel'
+import type { CrashReport } from '@clementineloft/routing'
+import type { clementineloft as wire } from '../../generated/wire.js'
+import { instanceLists, objectStores } from './adapters.js'
+import { AdminServer } from './admin-server.js'
+import type { ConfigDocument } from './config-document.js'
+import { configKey } from './config-document.js'
+import { peerService } from './grpc-services.js'
+import { createPeerHandlers, GrpcPeerTransport } from './peer-service.js'
+import type { ProcessContext } from './process-context.js'
+import { channelOptions } from './stage-link.js'
+
+const drainPollMs = 50
+
+/** Runs the common parts of a process. */
+export class NodeRuntime {
+  readonly store: ObjectStore
+  readonly configRecord: StoreRecord<ConfigSnapshot<ConfigDocument>>
+  readonly admin: AdminServer
+  readonly transport: GrpcPeerTransport
+  private readonly server = new Server(channelOptions)
+  private readonly spread: ConfigSpread<ConfigDocument>
+  private isStopped = false
+  private isStoreFaulty = false
+
+  /**
+   * @param context - parts of this process
+   * @param channelCredentials - credentials towards other processes
+   */
+  constructor (
+    readonly context: ProcessContext,
+    readonly channelCredentials: ChannelCredentials
+  ) {
+    const { settings, clock, random, metrics, replica, membership } = context
+    const { platform, instance, spread } = settings
+    this.store = objectStores.get(platform.adapter)(platform.store_url, platform.timeout_ms, metrics)
+    this.configRecord = new StoreRecord(this.store, configKey, clock)
+    this.transport = new GrpcPeerTransport(context, channelCredentials)
+    const self = { name: instance.name, dataCentre: instance.data_centre }
+    this.spread = new ConfigSpread(
+      self, replica, this.configRecord, membership, this.transport, clock, random,
+      {
+        exchangeIntervalMs: spread.exchange_interval_ms,
+        fanout: spread.fanout,
+        watchersPerDataCentre: spread.watchers_per_data_centre
+      },
+      (message) => { this.noteStoreFault(message) }
+    )
+    this.admin = new AdminServer(context)
+    this.addService(peerService, createPeerHandlers(context, (header) => { this.fetchNewer(header) }))
+  }
+
+  /**
+   * @param definition - a gRPC service
+   * @param handlers - its implementation
+   */
+  addService (definition: ServiceDefinition, handlers: UntypedServiceImplementation): void {
+    this.server.addService(definition, handlers)
+  }
+
+  /** Starts listening and keeping up with the platform. */
+  async start (): Promise<void> {
+    const { context } = this
+    const { instance } = context.settings
+    context.replica.subscribe((_, revision) => {
+      this.isStoreFaulty = false
+      context.journal.record({ name: 'config-applied', detail: `revision ${revision}` })
+      context.log.info({ event: 'config-applied', revision })
+    })
+    await this.listen(instance.address)
+    await this.admin.listen(instance.admin_address)
+    void this.followInstances()
+    this.spread.start()
+  }
+
+  /**
+   * Tells every entry and sidecar of a crash, whether or not the store is up.
+   *
+   * @param report - the crash
+   */
+  async broadcastCrash (report: CrashReport): Promise<void> {
+    if (!this.context.crashes.record(report)) return
+    const peers = this.listPeers()
+    await Promise.allSettled(peers.map(async (peer) => { await this.transport.sendCrash(peer, report) }))
+  }
+
+  /**
+   * Waits until work in flight has ended or the grace period is over, then stops.
+   *
+   * @param countInFlight - number of pieces of work that still run
+   */
+  async drain (countInFlight: () => number): Promise<void> {
+    const { clock, settings, log } = this.context
+    const endMs = clock.now() + settings.shutdown.grace_ms
+    while (countInFlight() > 0 && clock.now() < endMs) {
+      await new Promise((resolve) => { setTimeout(resolve, drainPollMs) })
+    }
+    log.info({ event: 'stopped', left: countInFlight() })
+    this.isStopped = true
+    this.spread.stop()
+    this.server.forceShutdown()
+    this.admin.close()
+  }
+
+  /** Marks this process as leaving and tells its peers. */
+  startLeaving (): void {
+    const { context } = this
+    if (context.isLeaving) return
+    context.isLeaving = true
+    context.journal.record({ name: 'leaving' })
+    context.log.info({ event: 'leaving' })
+    for (const peer of this.listPeers()) this.transport.callPeer(peer.address, '').catch(() => {})
+  }
+
+  private listPeers (): Instance[] {
+    const { membership, settings } = this.context
+    return membership.list().filter((instance) => instance.name !== settings.instance.name)
+  }
+
+  private listen (address: string): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.bindAsync(address, ServerCredentials.createInsecure(), (error) => {
+        if (error === null) resolve()
+        else reject(createError(ErrorKind.settingsInvalid, `cannot listen on "${address}": ${error.message}`))
+      })
+    })
+  }
+
+  private fetchNewer (header: wire.IHeader): void {
+    const { replica } = this.context
+    this.transport.callPeer(header.address ?? '', '').then(
+      (update) => { replica.apply(update) },
+      () => { /* The next comparison brings it. */ }
+    )
+  }
+
+  private async followInstances (): Promise<void> {
+    const { settings, clock, membership, random, journal } = this.context
+    const { platform } = settings
+    const list = instanceLists.get(platform.adapter)(platform.list_url, platform.timeout_ms)
+    while (!this.isStopped) {
+      try {
+        const listing = await list.fetch(membership.getVersion())
+        if (listing !== undefined) {
+          membership.apply(listing)
+          journal.record({ name: 'instances-listed', detail: `${listing.instances.length} instances` })
+          this.admin.notifyMembership()
+        }
+      } catch (error) {
+        this.context.metrics.count('instance_list_errors_total')
+        this.noteStoreFault(getErrorMessage(error))
+      }
+      await clock.wait(platform.list_interval_ms * (0.5 + random.next()))
+    }
+  }
+
+  private noteStoreFault (message: string): void {
+    if (this.isStoreFaulty) return
+    this.isStoreFaulty = true
+    this.context.log.warn({ event: 'platform-unavailable', message })
+  }
+}
--- /dev/null
+++ b/packages/clementineloft/src/lib/peer-service.ts
@@ -0,0 +1,83 @@
+/**
+ * Comparison of configuration revisions between processes, and the spreading of crash reports.
+ */
+import type { ChannelCredentials, sendUnaryData, ServerUnaryCall, UntypedServiceImplementation } from '@grpc/grpc-js'
+import { PeerTransport } from '@clementineloft/coordination'
+import type { ConfigUpdate, Instance } from '@clementineloft/coordination'
+import type { CrashReport } from '@clementineloft/routing'
+import type { clementineloft as wire } from '../../generated/wire.js'
+import type { ConfigDocument } from './config-document.js'
+import { peerService } from './grpc-services.js'
+import type { ProcessContext } from './process-context.js'
+import { UnaryClient } from './unary-client.js'
+
+const exchangeTimeoutMs = 2000
+
+/** Calls peers over short-lived connections, so that no process keeps a connection to every other. */
+export class GrpcPeerTransport extends PeerTransport<ConfigDocument> {
+  constructor (
+    private readonly context: ProcessContext,
+    private readonly channelCredentials: ChannelCredentials
+  ) {
+    super()
+  }
+
+  override async exchange (peer: Instance): Promise<ConfigUpdate<ConfigDocument>> {
+    return await this.callPeer(peer.address, '')
+  }
+
+  /**
+   * Tells a peer of a crash.
+   *
+   * @param peer - the instance to tell
+   * @param report - the crash
+   */
+  async sendCrash (peer: Instance, report: CrashReport): Promise<void> {
+    await this.callPeer(peer.address, JSON.stringify([report]))
+  }
+
+  /**
+   * Asks the process at an address for what it has beyond the revision held here.
+   *
+   * @param address - address of the process, `ip:port`
+   * @param crashesJson - crash reports for the peer as JSON; empty for none
+   */
+  async callPeer (address: string, crashesJson: string): Promise<ConfigUpdate<ConfigDocument>> {
+    const client = new UnaryClient(address, this.channelCredentials)
+    this.context.metrics.count('peer_exchanges_total')
+    try {
+      const message = { header: this.context.createHeader(), crashesJson }
+      const reply = await client.call(peerService.exchange, message, exchangeTimeoutMs)
+      this.context.mergeHeader(reply.header)
+      return reply.updateJson === '' ? {} : JSON.parse(reply.updateJson) as ConfigUpdate<ConfigDocument>
+    } finally {
+      client.close()
+    }
+  }
+}
+
+/**
+ * @param context - parts of this process
+ * @param handleNewer - called with the sender when it holds a newer revision
+ * @returns the implementation of the peer service
+ */
+export const createPeerHandlers = (
+  context: ProcessContext,
+  handleNewer: (header: wire.IHeader) => void
+): UntypedServiceImplementation => ({
+  exchange: (
+    call: ServerUnaryCall<wire.ExchangeRequest, wire.IExchangeReply>,
+    callback: sendUnaryData<wire.IExchangeReply>
+  ) => {
+    const { header, crashesJson } = call.request
+    context.mergeHeader(header)
+    if (crashesJson !== '') {
+      for (const report of JSON.parse(crashesJson) as CrashReport[]) context.crashes.record(report)
+    }
+    const revision = header?.revision ?? 0
+    if (header != null && revision > context.replica.getRevision()) handleNewer(header)
+    const update = context.replica.createUpdate(revision)
+    const isEmpty = update.changes === undefined && update.snapshot === undefined
+    callback(null, { header: context.createHeader(), updateJson: isEmpty ? '' : JSON.stringify(update) })
+  }
+})
--- /dev/null
+++ b/packages/clementineloft/src/lib/run-manager.ts
@@ -0,0 +1,153 @@
+/**
+ * All pipeline runs of one entry, over one pool of links.
+ */
+import type { ProcessContext } from './process-context.js'
+import type { clementineloft as wire } from '../../generated/wire.js'
+import { getFrameRequest, LoadTable, PipelinePicker, PipelineRun, StagePort, StageSource } from '@clementineloft/routing'
+import type { Frame, ModelGraph, RunListener, RunOptions, RunRequest, StageEndpoint } from '@clementineloft/routing'
+import type { EndpointDirectory } from './endpoint-directory.js'
+import { LinkListener, LinkPool } from './link-pool.js'
+import type { NodeRuntime } from './node-runtime.js'
+
+/** Picks endpoints for the runs of one model. */
+class GraphSource extends StageSource {
+  constructor (
+    private readonly findGraph: () => ModelGraph | undefined,
+    private readonly picker: PipelinePicker,
+    private readonly directory: EndpointDirectory
+  ) {
+    super()
+  }
+
+  override pick (excluded: ReadonlySet<string>): StageEndpoint[] | undefined {
+    const graph = this.findGraph()
+    return graph === undefined ? undefined : this.picker.pick(graph, this.createFilter(excluded))
+  }
+
+  override pickReplacement (replaced: StageEndpoint, excluded: ReadonlySet<string>): StageEndpoint | undefined {
+    const graph = this.findGraph()
+    return graph === undefined ? undefined : this.picker.pickReplacement(graph, replaced, this.createFilter(excluded))
+  }
+
+  private createFilter (excluded: ReadonlySet<string>): (name: string) => boolean {
+    return (name) => !excluded.has(name) && this.directory.isUsable(name)
+  }
+}
+
+/** Sends frames and counts the load that they put on endpoints. */
+class PoolPort extends StagePort {
+  constructor (
+    private readonly pool: LinkPool,
+    private readonly loads: LoadTable
+  ) {
+    super()
+  }
+
+  override send (endpoint: StageEndpoint, frame: Frame): void {
+    if (frame.open != null) this.loads.recordStart(endpoint.name)
+    if (frame.close != null) this.loads.recordEnd(endpoint.name)
+    this.pool.send(endpoint.name, endpoint.address, frame)
+  }
+}
+
+/** Passes what happens on links to the runs. */
+class RunLinkListener extends LinkListener {
+  constructor (private readonly manager: RunManager) {
+    super()
+  }
+
+  override handleFrame (endpoint: string, frame: Frame): void {
+    this.manager.handleFrame(endpoint, frame)
+  }
+
+  override handleHeader (endpoint: string, header: wire.IHeader): void {
+    this.manager.handleHeader(endpoint, header)
+  }
+
+  override handleLost (endpoint: string, cause: string): void {
+    this.manager.handleLost(endpoint, cause)
+  }
+}
+
+/** Starts runs and routes frames to them. */
+export class RunManager {
+  private readonly runs = new Map<string, PipelineRun>()
+  private readonly loads = new LoadTable()
+  private readonly pool: LinkPool
+  private readonly picker: PipelinePicker
+  private readonly context: ProcessContext
+
+  constructor (
+    runtime: NodeRuntime,
+    private readonly directory: EndpointDirectory,
+    private readonly options: RunOptions
+  ) {
+    this.context = runtime.context
+    this.pool = new LinkPool(runtime.context, runtime.channelCredentials, new RunLinkListener(this))
+    this.picker = new PipelinePicker(this.loads, runtime.context.random)
+    runtime.context.metrics.registerGauge('runs_in_flight', () => this.runs.size)
+    runtime.context.metrics.registerGauge('links_open', () => this.pool.countLinks())
+  }
+
+  /** @returns number of runs in flight */
+  countRuns (): number {
+    return this.runs.size
+  }
+
+  /**
+   * Starts a run.
+   *
+   * @param request - what to run
+   * @param createListener - receives a function to call when the run has ended, and gives the listener
+   */
+  start (request: RunRequest, createListener: (handleEnd: () => void) => RunListener): PipelineRun {
+    const handleEnd = (): void => { this.runs.delete(request.request) }
+    const source = new GraphSource(() => this.directory.findGraph(request.model), this.picker, this.directory)
+    const port = new PoolPort(this.pool, this.loads)
+    const run = new PipelineRun(request, source, port, createListener(handleEnd), this.context.clock, this.options)
+    this.runs.set(request.request, run)
+    run.start()
+    return run
+  }
+
+  /**
+   * Ends a run whose caller has gone.
+   *
+   * @param request - identity of the request
+   */
+  cancel (request: string): void {
+    this.runs.get(request)?.cancel()
+    this.runs.delete(request)
+  }
+
+  /** Takes a frame from a sidecar. */
+  handleFrame (endpoint: string, frame: Frame): void {
+    this.runs.get(getFrameRequest(frame))?.handleFrame(endpoint, frame)
+  }
+
+  /** Takes the report that rides on each message from a sidecar. */
+  handleHeader (endpoint: string, header: wire.IHeader): void {
+    this.loads.recordReport(endpoint, header.load ?? 0)
+  }
+
+  /** Replaces an endpoint whose link is lost in all its runs. */
+  handleLost (endpoint: string, cause: string): void {
+    this.directory.avoid(endpoint)
+    this.context.metrics.count('links_lost_total')
+    this.context.journal.record({ name: 'link-lost', endpoint, detail: cause })
+    this.context.log.warn({ event: 'link-lost', endpoint, cause })
+    for (const run of [...this.runs.values()]) run.handleLost(endpoint, cause)
+  }
+
+  /** Forgets endpoints that no longer exist. */
+  retainEndpoints (): void {
+    const names = this.directory.listNames()
+    this.pool.retain(names)
+    this.loads.retain(names)
+  }
+
+  /** Closes all links. */
+  close (): void {
+    this.pool.close()
+  }
+}
--- /dev/null
+++ b/packages/clementineloft/src/lib/service-sidecar.ts
@@ -0,0 +1,177 @@
+/**
+ * A sidecar beside a plain service: guards its calls and keeps the claims on idempotency keys.
+ */
+import PQueue from 'p-queue'
+import type { sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js'
+import { CallGate, CallRunner, ClaimRange, getClaimHolder, TicketIssuer } from '@clementineloft/coordination'
+import {
+  computeHash32, createError, ErrorKind, getErrorKind, getErrorMessage, getErrorOutcome, Outcome
+} from '@clementineloft/kernel'
+import { createFairQueueClass } from '@clementineloft/routing'
+import type { FairQueue, FairQueueOptions } from '@clementineloft/routing'
+import type { clementineloft as wire } from '../../generated/wire.js'
+import { plainServices } from './adapters.js'
+import { computeWeight } from './config-document.js'
+import { sidecarService } from './grpc-services.js'
+import type { NodeRuntime } from './node-runtime.js'
+import type { PlainService, ServiceAnswer, ServiceCall } from './plain-service.js'
+import type { SidecarSettings } from './settings-schema.js'
+
+const claimWriteIntervalMs = 5
+const defaultKeyRanges = 16
+
+type ServiceSettings = NonNullable<SidecarSettings['service']>
+
+/** Runs calls in fair order between teams. */
+class QueuedRunner extends CallRunner<ServiceCall, ServiceAnswer> {
+  private readonly queue: PQueue<FairQueue, FairQueueOptions>
+
+  constructor (
+    private readonly service: PlainService,
+    maxInFlight: number,
+    getWeight: (team: string) => number
+  ) {
+    super()
+    this.queue = new PQueue({ concurrency: maxInFlight, queueClass: createFairQueueClass(getWeight) })
+  }
+
+  override async run (call: ServiceCall): Promise<ServiceAnswer> {
+    return await this.queue.add(async () => await this.service.run(call), { team: call.team }) as ServiceAnswer
+  }
+}
+
+/** Serves one endpoint of a plain service. */
+export class ServiceSidecar {
+  private readonly gate: CallGate<ServiceCall, ServiceAnswer>
+  private readonly tickets: TicketIssuer
+  private readonly ranges = new Map<string, ClaimRange<ServiceAnswer>>()
+  private readonly endpoint: string
+  private inFlight = 0
+  private isLeaving = false
+
+  constructor (
+    private readonly runtime: NodeRuntime,
+    private readonly settings: ServiceSettings
+  ) {
+    const { context } = runtime
+    const { clock, incarnation, replica, metrics } = context
+    this.endpoint = context.settings.instance.name
+    this.tickets = new TicketIssuer(this.endpoint, incarnation, clock, settings.retention_ms)
+    const service = plainServices.get(settings.adapter)(settings.url, settings.call_timeout_ms)
+    const getWeight = (team: string): number => computeWeight(replica.getDocument()?.teams[team])
+    const runner = new QueuedRunner(service, settings.max_in_flight, getWeight)
+    this.gate = new CallGate(
+      this.endpoint, runner, (key) => this.findRange(key), this.tickets, clock, settings.retention_ms
+    )
+    runtime.addService(sidecarService, {
+      call: (call: ServerUnaryCall<wire.CallRequest, wire.ICallReply>, callback: sendUnaryData<wire.ICallReply>) => {
+        void this.answer(callback, call.request, async () => await this.gate.handle(this.parseCall(call.request)))
+      },
+      resolve: (call: ServerUnaryCall<wire.ResolveRequest, wire.ICallReply>, callback: sendUnaryData<wire.ICallReply>) => {
+        void this.answer(callback, call.request, async () => await this.resolve(call.request))
+      },
+      issueTicket: (call: ServerUnaryCall<wire.TicketRequest, wire.ITicketReply>, callback: sendUnaryData<wire.ITicketReply>) => {
+        this.issueTicket(call.request, callback)
+      }
+    })
+    metrics.registerGauge('service_calls_in_flight', () => this.inFlight)
+    metrics.registerGauge('service_call_records', () => this.gate.countRecords())
+  }
+
+  /** Refuses new calls from now on. */
+  startLeaving (): void {
+    this.isLeaving = true
+    this.gate.startLeaving()
+  }
+
+  /** @returns number of calls that are running */
+  countInFlight (): number {
+    return this.inFlight
+  }
+
+  private findRange (scopedKey: string): ClaimRange<ServiceAnswer> {
+    const { context, store } = this.runtime
+    const document = context.replica.getDocument()
+    const service = document?.endpoints[this.endpoint]?.service ?? ''
+    const keyRanges = document?.services[service]?.keyRanges ?? defaultKeyRanges
+    const storeKey = `claims/${service}/${computeHash32(scopedKey) % keyRanges}`
+    const known = this.ranges.get(storeKey)
+    if (known !== undefined) return known
+    const range = new ClaimRange<ServiceAnswer>(store, storeKey, context.clock, {
+      holder: this.endpoint,
+      incarnation: context.incarnation,
+      retentionMs: this.settings.retention_ms,
+      writeIntervalMs: claimWriteIntervalMs
+    })
+    this.ranges.set(storeKey, range)
+    return range
+  }
+
+  private parseCall (message: wire.CallRequest): ServiceCall {
+    const { request, team, service, key, fingerprint, isIdempotent, method, path, headers, body } = message
+    return { request, scope: `${service}/${team}`, key, fingerprint, isIdempotent, team, method, path, headers, body }
+  }
+
+  /** A message that was meant for an earlier process at this address proves nothing about that process. */
+  private checkTarget (target: string): void {
+    const { incarnation } = this.runtime.context
+    if (target === '' || target === incarnation) return
+    throw createError(ErrorKind.wrongIncarnation, `endpoint "${this.endpoint}" has restarted`, { outcome: Outcome.notRun })
+  }
+
+  private async resolve (message: wire.ResolveRequest): Promise<ServiceAnswer> {
+    if (message.target !== '' && message.target !== this.runtime.context.incarnation) {
+      throw createError(ErrorKind.outcomeUnknown, `the process that had the call at "${this.endpoint}" has ended`, {
+        outcome: Outcome.unknown
+      })
+    }
+    if (message.request !== '') return await this.gate.resolve(message.request)
+    return await this.gate.resolveKey(message.scope, message.key)
+  }
+
+  private async answer (
+    callback: sendUnaryData<wire.ICallReply>,
+    message: wire.CallRequest | wire.ResolveRequest,
+    run: () => Promise<ServiceAnswer>
+  ): Promise<void> {
+    const { context } = this.runtime
+    const { request } = message
+    context.mergeHeader(message.header)
+    this.inFlight++
+    try {
+      if ('service' in message) this.checkTarget(message.target)
+      const answer = await run()
+      context.journal.record({ name: 'call-answered', request, endpoint: this.endpoint, detail: `status ${answer.status}` })
+      callback(null, {
+        header: context.createHeader(this.inFlight),
+        status: answer.status,
+        headers: answer.headers,
+        body: Buffer.from(answer.body, 'base64')
+      })
+    } catch (error) {
+      const kind = getErrorKind(error)
+      const outcome = getErrorOutcome(error)
+      context.metrics.count(`service_errors_total{kind="${kind}"}`)
+      context.journal.record({ name: 'call-failed', request, endpoint: this.endpoint, detail: `${kind}, ${outcome}` })
+      const holder = getClaimHolder(error)
+      callback(null, {
+        header: context.createHeader(this.inFlight),
+        kind,
+        outcome,
+        message: getErrorMessage(error),
+        holder: holder?.holder ?? '',
+        holderIncarnation: holder?.incarnation ?? ''
+      })
+    } finally {
+      this.inFlight--
+    }
+  }
+
+  private issueTicket (message: wire.TicketRequest, callback: sendUnaryData<wire.ITicketReply>): void {
+    const { context } = this.runtime
+    context.mergeHeader(message.header)
+    const header = context.createHeader(this.inFlight)
+    if (this.isLeaving) callback(null, { header, kind: ErrorKind.leaving, message: `endpoint "${this.endpoint}" is shutting down` })
+    else callback(null, { header, ticket: this.tickets.issue() })
+  }
+}
--- /dev/null
+++ b/packages/clementineloft/src/lib/stage-link.ts
@@ -0,0 +1,80 @@
+/**
+ * One stream of frames to a sidecar. Frames of the same turn of the event loop travel in one message.
+ */
+import { Client, credentials } from '@grpc/grpc-js'
+import type { ChannelCredentials, ClientDuplexStream } from '@grpc/grpc-js'
+import type { Frame } from '@clementineloft/routing'
+import type { clementineloft as wire } from '../../generated/wire.js'
+import { sidecarService } from './grpc-services.js'
+import type { ProcessContext } from './process-context.js'
+
+/** Options of all gRPC clients and servers of the system. */
+export const channelOptions = {
+  'grpc.max_receive_message_length': 64 * 1024 * 1024,
+  'grpc.max_send_message_length': 64 * 1024 * 1024,
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.max_reconnect_backoff_ms': 1000
+}
+
+/** @returns a client without TLS */
+export const createPlainCredentials = (): ChannelCredentials => credentials.createInsecure()
+
+/** What happens on a link. */
+export interface LinkHandlers {
+  handleBatch: (batch: wire.IBatch) => void
+  /** Called once; the link is of no use afterwards. */
+  handleLost: (cause: string) => void
+}
+
+/** A stream to one sidecar. */
+export class StageLink {
+  private readonly client: Client
+  private readonly stream: ClientDuplexStream<wire.IBatch, wire.Batch>
+  private pending: Frame[] = []
+  private isLost = false
+
+  /**
+   * @param address - address of the sidecar, `ip:port`
+   * @param context - gives the header of each message
+   */
+  constructor (
+    readonly address: string,
+    private readonly context: ProcessContext,
+    channelCredentials: ChannelCredentials,
+    private readonly handlers: LinkHandlers
+  ) {
+    this.client = new Client(address, channelCredentials, channelOptions)
+    const { path, requestSerialize, responseDeserialize } = sidecarService.connect
+    this.stream = this.client.makeBidiStreamRequest(path, requestSerialize, responseDeserialize)
+    this.stream.on('data', (batch: wire.Batch) => { this.handlers.handleBatch(batch) })
+    this.stream.on('error', (error) => { this.lose(error.message) })
+    this.stream.on('end', () => { this.lose('the sidecar ended the stream') })
+  }
+
+  /** @param frame - a frame to send; dropped if the link is lost */
+  send (frame: Frame): void {
+    if (this.isLost) return
+    this.pending.push(frame)
+    if (this.pending.length === 1) setImmediate(() => { this.flush() })
+  }
+
+  /** Closes the link without reporting it as lost. */
+  close (): void {
+    this.isLost = true
+    this.stream.cancel()
+    this.client.close()
+  }
+
+  private flush (): void {
+    const frames = this.pending
+    this.pending = []
+    if (!this.isLost && frames.length > 0) this.stream.write({ header: this.context.createHeader(), frames })
+  }
+
+  private lose (cause: string): void {
+    if (this.isLost) return
+    this.isLost = true
+    this.client.close()
+    this.handlers.handleLost(cause)
+  }
+}
--- /dev/null
+++ b/packages/clementineloft/src/lib/stage-sidecar.ts
@@ -0,0 +1,140 @@
+/**
+ * A sidecar beside a model engine: carries frames between entries, other sidecars and the stage host.
+ */
+import type { ServerDuplexStream } from '@grpc/grpc-js'
+import { createIdentifier } from '@clementineloft/kernel'
+import { StageHost, StageOutlet } from '@clementineloft/routing'
+import type { Frame, Hop } from '@clementineloft/routing'
+import type { clementineloft as wire } from '../../generated/wire.js'
+import { modelEngines } from './adapters.js'
+import { computeWeight } from './config-document.js'
+import { sidecarService } from './grpc-services.js'
+import { LinkListener, LinkPool } from './link-pool.js'
+import type { NodeRuntime } from './node-runtime.js'
+import type { SidecarSettings } from './settings-schema.js'
+
+type Connection = ServerDuplexStream<wire.Batch, wire.IBatch>
+
+/** Batches the frames of one turn of the event loop towards one entry. */
+class EntryConnection {
+  private pending: Frame[] = []
+
+  constructor (
+    private readonly stream: Connection,
+    private readonly createHeader: () => wire.IHeader
+  ) {}
+
+  send (frame: Frame): void {
+    this.pending.push(frame)
+    if (this.pending.length === 1) setImmediate(() => { this.flush() })
+  }
+
+  private flush (): void {
+    const frames = this.pending
+    this.pending = []
+    if (!this.stream.destroyed && !this.stream.cancelled) this.stream.write({ header: this.createHeader(), frames })
+  }
+}
+
+/** Hears of lost links to next stages. */
+class HopListener extends LinkListener {
+  constructor (private readonly reportLost: (endpoint: string) => void) {
+    super()
+  }
+
+  override handleFrame (): void {}
+
+  override handleHeader (): void {}
+
+  override handleLost (endpoint: string): void {
+    this.reportLost(endpoint)
+  }
+}
+
+/** Serves one model endpoint. */
+export class StageSidecar extends StageOutlet {
+  private readonly host: StageHost
+  private readonly hops: LinkPool
+  private readonly connections = new Map<string, EntryConnection>()
+
+  constructor (
+    private readonly runtime: NodeRuntime,
+    settings: NonNullable<SidecarSettings['engine']>
+  ) {
+    super()
+    const { context, channelCredentials } = runtime
+    const { clock, journal, metrics, replica, crashes } = context
+    const engine = modelEngines.get(settings.adapter)(settings.url, settings.step_timeout_ms, clock)
+    this.host = new StageHost(
+      {
+        endpoint: context.settings.instance.name,
+        clock,
+        journal,
+        metrics,
+        getWeight: (team) => computeWeight(replica.getDocument()?.teams[team]),
+        isSuspect: (fingerprint) => crashes.isSuspect(fingerprint),
+        isQuarantined: (fingerprint) => crashes.isQuarantined(fingerprint)
+      },
+      engine,
+      this,
+      {
+        maxBatch: settings.max_batch,
+        maxChunk: settings.max_chunk,
+        stepTimeoutMs: settings.step_timeout_ms,
+        maxSessions: settings.max_sessions,
+        maxLogBytes: settings.max_log_bytes
+      }
+    )
+    this.hops = new LinkPool(context, channelCredentials, new HopListener((endpoint) => { this.host.handleHopLost(endpoint) }))
+    runtime.addService(sidecarService, {
+      connect: (stream: Connection) => { this.acceptConnection(stream) }
+    })
+    metrics.registerGauge('stage_sessions', () => this.host.getLoad())
+    metrics.registerGauge('stage_backlog', () => this.host.getBacklog())
+    metrics.registerGauge('stage_log_bytes', () => this.host.getLogBytes())
+  }
+
+  /** Refuses new requests from now on. */
+  startLeaving (): void {
+    this.host.startLeaving()
+  }
+
+  /** @returns number of requests held */
+  countInFlight (): number {
+    return this.host.getLoad()
+  }
+
+  override sendToEntry (connection: string, frame: Frame): void {
+    this.connections.get(connection)?.send(frame)
+  }
+
+  override sendToStage (next: Hop, frame: Frame): void {
+    this.hops.send(next.endpoint, next.address, frame)
+  }
+
+  override reportCrash (fingerprints: readonly string[]): void {
+    const endpoint = this.runtime.context.settings.instance.name
+    void this.runtime.broadcastCrash({ endpoint, fingerprints: [...fingerprints] })
+  }
+
+  private acceptConnection (stream: Connection): void {
+    const { context } = this.runtime
+    const connection = createIdentifier()
+    this.connections.set(connection, new EntryConnection(stream, () => context.createHeader(this.host.getLoad())))
+    stream.on('data', (batch: wire.Batch) => {
+      context.mergeHeader(batch.header)
+      for (const frame of batch.frames) this.host.handleFrame(connection, frame as Frame)
+    })
+    let isEnded = false
+    const end = (): void => {
+      if (isEnded) return
+      isEnded = true
+      this.connections.delete(connection)
+      this.host.handleConnectionLost(connection)
+      if (!stream.cancelled) stream.end()
+    }
+    stream.on('end', end)
+    stream.on('cancelled', end)
+    stream.on('error', end)
+  }
+}
--- /dev/null
+++ b/packages/clementineloft/src/main.ts
@@ -0,0 +1,6 @@
+/**
+ * The program.
+ */
+import { runCommandLine } from './lib/command-line.js'
+
+void runCommandLine(process.argv)
--- /dev/null
+++ b/packages/coordination/src/index.ts
@@ -0,0 +1,14 @@
+/**
+ * Coordination without a service of its own: configuration, claims, leases and membership over the platform's object
+ * API.
+ */
+export * from './lib/call-gate.js'
+export * from './lib/claim-range.js'
+export * from './lib/claim-records.js'
+export * from './lib/config-replica.js'
+export * from './lib/config-spread.js'
+export * from './lib/membership.js'
+export * from './lib/object-store.js'
+export * from './lib/rendezvous.js'
+export * from './lib/store-record.js'
+export * from './lib/ticket-issuer.js'
--- /dev/null
+++ b/packages/coordination/src/lib/claim-records.ts
@@ -0,0 +1,52 @@
+/**
+ * What the store keeps of idempotency keys.
+ */
+
+/** One entry in the log of a key range. A later entry for the same key replaces an earlier one. */
+export interface ClaimEntry<Answer> {
+  key: string
+  /** Digest of the request that used the key. */
+  fingerprint: string
+  /** Endpoint that claimed the key. */
+  holder: string
+  /** Process that claimed the key, the only one that may ever run it. */
+  incarnation: string
+  /** Wall time of the claim in milliseconds, for expiry. */
+  atMs: number
+  /** The answer, once the request has run. */
+  answer?: Answer
+  /** Whether the claim was given up before the request ran. */
+  isReleased?: boolean
+}
+
+/** A full part of the log, kept in an object of its own that is never changed. */
+export interface ClaimSegment {
+  key: string
+  newestMs: number
+}
+
+/** The object of one key range. Every change of it is conditional on its version. */
+export interface ClaimHead<Answer> {
+  /** Grows with every change of owner. */
+  epoch: number
+  /** Process that owns the range. */
+  owner: string
+  segments: ClaimSegment[]
+  tail: Array<ClaimEntry<Answer>>
+}
+
+/** The entries of a key range by key, as the log leaves them. */
+export type ClaimIndex<Answer> = Map<string, ClaimEntry<Answer>>
+
+/**
+ * Adds entries to an index; later ones win.
+ *
+ * @param index - the index to change
+ * @param entries - entries in order of the log
+ */
+export const mergeClaims = <Answer> (index: ClaimIndex<Answer>, entries: ReadonlyArray<ClaimEntry<Answer>>): void => {
+  for (const entry of entries) {
+    if (entry.isReleased === true) index.delete(entry.key)
+    else index.set(entry.key, entry)
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/lib/config-spread.ts
@@ -0,0 +1,142 @@
+/**
+ * Spreads the configuration between processes.
+ *
+ * A few processes in each data centre watch the store; all others hear from their peers. Whoever learns of a newer
+ * revision tells a few peers at once, and everyone compares revisions with a random peer at a steady pace. A change
+ * therefore spreads while the store is down, and a new process gets the configuration from any peer.
+ */
+import { getErrorMessage } from '@clementineloft/kernel'
+import type { Clock, RandomSource } from '@clementineloft/kernel'
+import type { ConfigReplica, ConfigSnapshot, ConfigUpdate } from './config-replica.js'
+import type { Instance, Membership } from './membership.js'
+import { rankCandidates } from './rendezvous.js'
+import type { StoreRecord } from './store-record.js'
+
+const watchTimeoutMs = 50_000
+const watchRetryMinMs = 1000
+const watchRetryMaxMs = 15_000
+
+/** Paces of the spreading. */
+export interface SpreadOptions {
+  /** Time between two comparisons with a random peer, in milliseconds. */
+  exchangeIntervalMs: number
+  /** How many peers are told at once of a newer revision. */
+  fanout: number
+  /** How many processes of a data centre watch the store. */
+  watchersPerDataCentre: number
+}
+
+/** Carries comparisons between processes. */
+export abstract class PeerTransport<T> {
+  /**
+   * Tells a peer the revision held here and receives what it has beyond that.
+   *
+   * @param peer - the instance to ask
+   * @param revision - revision held here; a peer that is behind asks back by itself
+   */
+  abstract exchange (peer: Instance, revision: number): Promise<ConfigUpdate<T>>
+}
+
+/** Keeps one replica up to date. */
+export class ConfigSpread<T extends object> {
+  private isStopped = false
+  private storeVersion = 0
+
+  /**
+   * @param self - name and data centre of this instance
+   * @param replica - the replica to keep up to date
+   * @param record - the configuration's object in the store
+   */
+  constructor (
+    private readonly self: { name: string, dataCentre: string },
+    private readonly replica: ConfigReplica<T>,
+    private readonly record: StoreRecord<ConfigSnapshot<T>>,
+    private readonly membership: Membership,
+    private readonly transport: PeerTransport<T>,
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+    private readonly options: SpreadOptions,
+    private readonly reportFault: (message: string) => void
+  ) {}
+
+  /** Starts the comparisons and, where it falls to this process, the watch. */
+  start (): void {
+    this.replica.subscribe(() => { void this.tellPeers() })
+    void this.runExchanges()
+    void this.runWatch()
+  }
+
+  /** Ends both loops after their present step. */
+  stop (): void {
+    this.isStopped = true
+  }
+
+  /**
+   * Compares revisions with one peer and applies what it has beyond ours.
+   *
+   * @param peer - the instance to ask
+   */
+  async exchangeWith (peer: Instance): Promise<void> {
+    try {
+      this.replica.apply(await this.transport.exchange(peer, this.replica.getRevision()))
+    } catch {
+      // A peer that does not answer is skipped; the next comparison goes to another.
+    }
+  }
+
+  private listPeers (): Instance[] {
+    return this.membership.list().filter((instance) => instance.name !== this.self.name)
+  }
+
+  private async tellPeers (): Promise<void> {
+    const peers = this.listPeers()
+    for (let told = 0; told < this.options.fanout && peers.length > 0; told++) {
+      const [peer] = peers.splice(this.random.pickInteger(peers.length), 1)
+      void this.exchangeWith(peer as Instance)
+    }
+  }
+
+  private async runExchanges (): Promise<void> {
+    while (!this.isStopped) {
+      const peers = this.listPeers()
+      if (peers.length > 0) await this.exchangeWith(this.random.pickItem(peers))
+      const hasConfig = this.replica.getRevision() > 0
+      const jitter = 0.5 + this.random.next()
+      await this.clock.wait((hasConfig ? this.options.exchangeIntervalMs : watchRetryMinMs / 4) * jitter)
+    }
+  }
+
+  private isWatcher (): boolean {
+    if (this.replica.getRevision() === 0) return true
+    const names = this.membership.list()
+      .filter((instance) => instance.dataCentre === this.self.dataCentre && this.membership.isServing(instance.name))
+      .map((instance) => instance.name)
+    const watchers = rankCandidates('config-watch', names).slice(0, this.options.watchersPerDataCentre)
+    return names.length === 0 || watchers.includes(this.self.name)
+  }
+
+  private async runWatch (): Promise<void> {
+    let retryMs = watchRetryMinMs
+    while (!this.isStopped) {
+      if (!this.isWatcher()) {
+        await this.clock.wait(watchRetryMaxMs * (0.5 + this.random.next()))
+        continue
+      }
+      try {
+        await this.watchOnce()
+        retryMs = watchRetryMinMs
+      } catch (error) {
+        this.reportFault(getErrorMessage(error))
+        await this.clock.wait(retryMs * (0.5 + this.random.next()))
+        retryMs = Math.min(retryMs * 2, watchRetryMaxMs)
+      }
+    }
+  }
+
+  private async watchOnce (): Promise<void> {
+    const state = await this.record.watch(this.storeVersion, watchTimeoutMs)
+    if (state === undefined) return
+    this.storeVersion = state.version
+    this.replica.apply({ snapshot: state.body })
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/lib/membership.ts
@@ -0,0 +1,104 @@
+/**
+ * The instances of the system, as the platform's lagging list and their own words show them.
+ */
+
+/** What an instance does. */
+export const InstanceRole = {
+  entry: 'entry',
+  sidecar: 'sidecar'
+} as const
+export type InstanceRole = typeof InstanceRole[keyof typeof InstanceRole]
+
+/** One instance in the platform's list. */
+export interface Instance {
+  /** Name of the instance; a sidecar has the name of its endpoint. */
+  name: string
+  role: InstanceRole
+  /** Address for calls between processes, `ip:port`. */
+  address: string
+  dataCentre: string
+  state: 'live' | 'leaving'
+}
+
+/** A version of the list, to ask for what is newer. */
+export interface InstanceListing {
+  version: string
+  instances: Instance[]
+}
+
+/** A client of the platform's list of instances. */
+export abstract class InstanceList {
+  /**
+   * @param knownVersion - version that the caller holds; empty for none
+   * @returns a newer listing, or `undefined` if there is none
+   */
+  abstract fetch (knownVersion: string): Promise<InstanceListing | undefined>
+}
+
+/**
+ * What is known of all instances. A leaving instance stays leaving, whatever a later, staler list says, until an
+ * instance with another incarnation is heard from at the same name.
+ */
+export class Membership {
+  private listing: InstanceListing = { version: '', instances: [] }
+  private byName = new Map<string, Instance>()
+  private readonly leavingIncarnations = new Map<string, string>()
+  private readonly incarnations = new Map<string, string>()
+
+  /** @param listing - a newer listing */
+  apply (listing: InstanceListing): void {
+    this.listing = listing
+    this.byName = new Map(listing.instances.map((instance) => [instance.name, instance]))
+    for (const name of this.leavingIncarnations.keys()) {
+      if (!this.byName.has(name)) this.leavingIncarnations.delete(name)
+    }
+  }
+
+  /** @returns version of the listing in use */
+  getVersion (): string {
+    return this.listing.version
+  }
+
+  /** @returns all instances, leaving ones included */
+  list (): readonly Instance[] {
+    return this.listing.instances
+  }
+
+  /** @returns the instance of that name, or `undefined` */
+  find (name: string): Instance | undefined {
+    return this.byName.get(name)
+  }
+
+  /** @returns the incarnation last heard from at that name, or `undefined` */
+  getIncarnation (name: string): string | undefined {
+    return this.incarnations.get(name)
+  }
+
+  /**
+   * Notes which incarnation answered at a name.
+   *
+   * @param name - name of the instance
+   * @param incarnation - identity of its process
+   */
+  recordIncarnation (name: string, incarnation: string): void {
+    this.incarnations.set(name, incarnation)
+  }
+
+  /**
+   * Notes that an instance said of itself that it is leaving.
+   *
+   * @param name - name of the instance
+   * @param incarnation - identity of the process that said so
+   */
+  recordLeaving (name: string, incarnation: string): void {
+    this.leavingIncarnations.set(name, incarnation)
+  }
+
+  /** @returns whether the instance is listed as live and has not said that it is leaving */
+  isServing (name: string): boolean {
+    const instance = this.byName.get(name)
+    if (instance === undefined || instance.state !== 'live') return false
+    const leaving = this.leavingIncarnations.get(name)
+    return leaving === undefined || leaving !== this.incarnations.get(name)
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/index.ts
@@ -0,0 +1,12 @@
+/**
+ * Parts that every other package builds on: time, randomness, errors, settings, events, metrics.
+ */
+export * from './lib/clock.js'
+export * from './lib/errors.js'
+export * from './lib/hybrid-clock.js'
+export * from './lib/identifiers.js'
+export * from './lib/journal.js'
+export * from './lib/metrics.js'
+export * from './lib/plugin-registry.js'
+export * from './lib/random.js'
+export * from './lib/settings.js'
--- /dev/null
+++ b/packages/kernel/src/lib/errors.ts
@@ -0,0 +1,111 @@
+/**
+ * The closed list of error kinds and the answer that each gives to a caller.
+ */
+import VError from 'verror'
+
+/** What is known of a request that got no answer. */
+export const Outcome = {
+  /** Evidence shows that it did not run and never will. */
+  notRun: 'not-run',
+  /** It may have run. */
+  unknown: 'unknown'
+} as const
+export type Outcome = typeof Outcome[keyof typeof Outcome]
+
+/** Every kind of error that a caller or another process can see. */
+export const ErrorKind = {
+  badRequest: 'bad-request',
+  unauthorized: 'unauthorized',
+  notFound: 'not-found',
+  tooLarge: 'too-large',
+  conflict: 'conflict',
+  keyReused: 'key-reused',
+  leaving: 'leaving',
+  wrongIncarnation: 'wrong-incarnation',
+  superseded: 'superseded',
+  overloaded: 'overloaded',
+  limited: 'limited',
+  quarantined: 'quarantined',
+  noCapacity: 'no-capacity',
+  deadline: 'deadline',
+  storeUnavailable: 'store-unavailable',
+  endpointFailed: 'endpoint-failed',
+  outcomeUnknown: 'outcome-unknown',
+  notReady: 'not-ready',
+  settingsInvalid: 'settings-invalid',
+  internal: 'internal'
+} as const
+export type ErrorKind = typeof ErrorKind[keyof typeof ErrorKind]
+
+/** How an error kind is answered over HTTP. */
+export interface ErrorAnswer {
+  status: number
+  title: string
+  /** Seconds after which a repeat may succeed; absent where a repeat does not help. */
+  retryAfterSeconds?: number
+}
+
+/** The answer for each error kind. */
+export const errorAnswers: Readonly<Record<ErrorKind, ErrorAnswer>> = {
+  'bad-request': { status: 400, title: 'The request is malformed' },
+  unauthorized: { status: 401, title: 'The API key is missing or unknown' },
+  'not-found': { status: 404, title: 'There is no such resource' },
+  'too-large': { status: 413, title: 'The request is too large' },
+  conflict: { status: 409, title: 'The change conflicts with another' },
+  'key-reused': { status: 422, title: 'The idempotency key was used for a different request' },
+  leaving: { status: 503, title: 'The instance is shutting down', retryAfterSeconds: 1 },
+  'wrong-incarnation': { status: 503, title: 'The endpoint has restarted', retryAfterSeconds: 1 },
+  superseded: { status: 409, title: 'A newer attempt has replaced this one' },
+  overloaded: { status: 503, title: 'The system is overloaded', retryAfterSeconds: 2 },
+  limited: { status: 429, title: 'The team is over its limit', retryAfterSeconds: 1 },
+  quarantined: { status: 422, title: 'The request crashed the endpoints that ran it' },
+  'no-capacity': { status: 503, title: 'No endpoint can serve the request', retryAfterSeconds: 2 },
+  deadline: { status: 504, title: 'The request cannot finish in time' },
+  'store-unavailable': { status: 503, title: 'The platform store is unavailable', retryAfterSeconds: 5 },
+  'endpoint-failed': { status: 502, title: 'The endpoint failed' },
+  'outcome-unknown': { status: 502, title: 'The endpoint was lost while the request may have been running' },
+  'not-ready': { status: 503, title: 'The instance has no configuration yet', retryAfterSeconds: 2 },
+  'settings-invalid': { status: 500, title: 'The settings are invalid' },
+  internal: { status: 500, title: 'An internal error occurred' }
+}
+
+interface ErrorInfo {
+  kind?: ErrorKind
+  outcome?: Outcome
+}
+
+/**
+ * @param kind - kind of the error
+ * @param message - what went wrong, naming the culprit and what to do
+ * @param options - the outcome for the caller's request (not run unless given) and the cause
+ * @returns an error that carries its kind
+ */
+export const createError = (
+  kind: ErrorKind,
+  message: string,
+  options: { outcome?: Outcome, cause?: unknown } = {}
+): VError => {
+  const cause = options.cause instanceof Error ? options.cause : undefined
+  const info: ErrorInfo = { kind, outcome: options.outcome ?? Outcome.notRun }
+  return new VError({ name: kind, info, ...(cause === undefined ? {} : { cause }) }, '%s', message)
+}
+
+/**
+ * @param error - anything that was thrown
+ * @returns its kind; `internal` for what this system did not create
+ */
+export const getErrorKind = (error: unknown): ErrorKind =>
+  error instanceof Error ? (VError.info(error) as ErrorInfo).kind ?? ErrorKind.internal : ErrorKind.internal
+
+/**
+ * @param error - anything that was thrown
+ * @returns the outcome that the error proves; `unknown` for what this system did not create
+ */
+export const getErrorOutcome = (error: unknown): Outcome =>
+  error instanceof Error ? (VError.info(error) as ErrorInfo).outcome ?? Outcome.unknown : Outcome.unknown
+
+/**
+ * @param error - anything that was thrown
+ * @returns its message
+ */
+export const getErrorMessage = (error: unknown): string => error instanceof Error ? error.message : String(error)
--- /dev/null
+++ b/packages/routing/src/lib/engine-executor.ts
@@ -0,0 +1,95 @@
+/**
+ * Runs engine steps in fair order, at most a batch at a time, and suspects of a crash alone.
+ */
+import PQueue from 'p-queue'
+import { createError, ErrorKind } from '@clementineloft/kernel'
+import type { Clock } from '@clementineloft/kernel'
+import { createFairQueueClass } from './fair-queue.js'
+import type { FairQueue, FairQueueOptions, TeamWeights } from './fair-queue.js'
+import type { EngineStep, ModelEngine } from './model-engine.js'
+import type { StageOutput } from './stage-session.js'
+
+/** Bounds of an executor. */
+export interface ExecutorOptions {
+  /** Steps that run at the same time. */
+  maxBatch: number
+  /** Positions of a long prompt that run in one step. */
+  maxChunk: number
+  /** How long a step may take, in milliseconds. */
+  stepTimeoutMs: number
+}
+
+/** For whom a step runs. */
+export interface StepTerms {
+  team: string
+  /** Whether the request was running when an engine crashed, so that it must run alone. */
+  isSuspect: boolean
+}
+
+/** Queues steps in front of one engine. */
+export class EngineExecutor {
+  private readonly queue: PQueue<FairQueue, FairQueueOptions>
+  private readonly suspects = new PQueue({ concurrency: 1 })
+
+  constructor (
+    private readonly engine: ModelEngine,
+    private readonly clock: Clock,
+    private readonly options: ExecutorOptions,
+    getWeight: TeamWeights
+  ) {
+    this.queue = new PQueue({ concurrency: options.maxBatch, queueClass: createFairQueueClass(getWeight) })
+  }
+
+  /** @returns number of steps that wait */
+  getBacklog (): number {
+    return this.queue.size + this.suspects.size
+  }
+
+  /**
+   * Runs a step in chunks, each queued on its own, so that a long prompt does not hold up others.
+   *
+   * @param step - the step; steps of one session must not overlap
+   * @param terms - for whom it runs
+   * @param handleChunk - receives the outputs of each chunk, in order
+   */
+  async run (step: EngineStep, terms: StepTerms, handleChunk: (outputs: StageOutput[]) => void): Promise<void> {
+    for (let start = 0; start < step.rows.length; start += this.options.maxChunk) {
+      const rows = step.rows.slice(start, start + this.options.maxChunk)
+      const chunk = { ...step, position: step.position + start, rows }
+      handleChunk(await this.runChunk(chunk, terms))
+    }
+  }
+
+  private async runChunk (chunk: EngineStep, terms: StepTerms): Promise<StageOutput[]> {
+    if (terms.isSuspect) return await this.suspects.add(async () => await this.runAlone(chunk)) as StageOutput[]
+    const cost = chunk.rows.length * (chunk.lastLayer - chunk.firstLayer + 1)
+    const options = { team: terms.team, cost }
+    return await this.queue.add(async () => await this.runBounded(chunk), options) as StageOutput[]
+  }
+
+  private async runAlone (chunk: EngineStep): Promise<StageOutput[]> {
+    this.queue.pause()
+    try {
+      await this.queue.onPendingZero()
+      return await this.runBounded(chunk)
+    } finally {
+      this.queue.start()
+    }
+  }
+
+  private async runBounded (chunk: EngineStep): Promise<StageOutput[]> {
+    const outputs = await this.waitBounded(this.engine.runStep(chunk))
+    if (outputs.length === chunk.rows.length) return outputs
+    const message = `engine answered ${outputs.length} outputs for ${chunk.rows.length} inputs`
+    throw createError(ErrorKind.endpointFailed, message)
+  }
+
+  private waitBounded<T> (result: Promise<T>): Promise<T> {
+    return new Promise((resolve, reject) => {
+      const timer = this.clock.schedule(this.options.stepTimeoutMs, () => {
+        reject(createError(ErrorKind.deadline, `engine did not answer within ${this.options.stepTimeoutMs} ms`))
+      })
+      result.then(resolve, reject).finally(() => { timer.cancel() })
+    })
+  }
+}
--- /dev/null
+++ b/packages/routing/src/lib/pipeline-picker.ts
@@ -0,0 +1,114 @@
+/**
+ * Picks the endpoints of a pipeline: branches in proportion to the maximum flow, then the better of two by load.
+ */
+import type { RandomSource } from '@clementineloft/kernel'
+import type { LoadTable } from './load-table.js'
+import type { Branch, ModelGraph, StageEndpoint } from './model-graph.js'
+
+/** Chooses pipelines over the graph of a model. */
+export class PipelinePicker {
+  constructor (
+    private readonly loads: LoadTable,
+    private readonly random: RandomSource
+  ) {}
+
+  /**
+   * Picks one endpoint for each stage.
+   *
+   * @param graph - graph of the model
+   * @param isUsable - whether an endpoint may take new work
+   * @returns endpoints in order of layers, or `undefined` if they cannot cover the model
+   */
+  pick (graph: ModelGraph, isUsable: (name: string) => boolean): StageEndpoint[] | undefined {
+    const reachable = this.createReachability(graph, isUsable)
+    const starts = graph.listStarts().filter((start) => reachable(start.boundary, start.dataCentre))
+    let at = this.pickByFlow(starts)
+    const pipeline: StageEndpoint[] = []
+    while (at !== undefined && at.boundary < graph.layers) {
+      const isLeavingDataCentre: boolean = at.endpoint === undefined && pipeline.length > 0
+      const branches = graph.listBranches(at.boundary, at.dataCentre)
+        .filter((branch) => branch.endpoint === undefined ? !isLeavingDataCentre : isUsable(branch.endpoint.name))
+        .filter((branch) => branch.endpoint === undefined
+          ? this.hasUsableEndpoint(graph, branch, isUsable, reachable)
+          : reachable(branch.boundary, branch.dataCentre))
+      at = this.pickBranch(branches)
+      if (at?.endpoint !== undefined) pipeline.push(at.endpoint)
+    }
+    return at === undefined ? undefined : pipeline
+  }
+
+  /**
+   * Picks another endpoint for one stage.
+   *
+   * @param graph - graph of the model
+   * @param replaced - endpoint to replace
+   * @param isUsable - whether an endpoint may take new work
+   * @returns an endpoint with the same layers, or `undefined`
+   */
+  pickReplacement (
+    graph: ModelGraph,
+    replaced: StageEndpoint,
+    isUsable: (name: string) => boolean
+  ): StageEndpoint | undefined {
+    const candidates = graph.endpoints.filter((endpoint) =>
+      endpoint.firstLayer === replaced.firstLayer && endpoint.lastLayer === replaced.lastLayer &&
+      endpoint.name !== replaced.name && isUsable(endpoint.name))
+    const near = candidates.filter((endpoint) => endpoint.dataCentre === replaced.dataCentre)
+    const preferred = near.length > 0 ? near : candidates
+    if (preferred.length === 0) return undefined
+    return this.pickBetter(this.random.pickItem(preferred), this.random.pickItem(preferred))
+  }
+
+  private pickBranch (branches: readonly Branch[]): Branch | undefined {
+    const first = this.pickByFlow(branches)
+    if (first?.endpoint === undefined) return first
+    const peers = branches.filter((branch) => branch.endpoint !== undefined)
+    const second = this.pickByFlow(peers)
+    if (second?.endpoint === undefined) return first
+    return this.pickBetter(first.endpoint, second.endpoint) === first.endpoint ? first : second
+  }
+
+  private pickBetter (first: StageEndpoint, second: StageEndpoint): StageEndpoint {
+    return this.estimateDelay(second) < this.estimateDelay(first) ? second : first
+  }
+
+  private estimateDelay (endpoint: StageEndpoint): number {
+    return (this.loads.estimate(endpoint.name) + 1) / endpoint.tokensPerSecond
+  }
+
+  private pickByFlow (branches: readonly Branch[]): Branch | undefined {
+    if (branches.length === 0) return undefined
+    const total = branches.reduce((sum, branch) => sum + branch.flow, 0)
+    if (total <= 0) return this.random.pickItem(branches)
+    let remaining = this.random.next() * total
+    for (const branch of branches) {
+      remaining -= branch.flow
+      if (remaining < 0) return branch
+    }
+    return branches.at(-1)
+  }
+
+  private hasUsableEndpoint (
+    graph: ModelGraph,
+    crossing: Branch,
+    isUsable: (name: string) => boolean,
+    reachable: (boundary: number, dataCentre: string) => boolean
+  ): boolean {
+    return graph.listBranches(crossing.boundary, crossing.dataCentre).some((branch) =>
+      branch.endpoint !== undefined && isUsable(branch.endpoint.name) && reachable(branch.boundary, branch.dataCentre))
+  }
+
+  private createReachability (
+    graph: ModelGraph,
+    isUsable: (name: string) => boolean
+  ): (boundary: number, dataCentre: string) => boolean {
+    const boundaries = new Set([graph.layers])
+    const usable = graph.endpoints.filter((endpoint) => isUsable(endpoint.name))
+    const byLastLayer = [...usable].sort((a, b) => b.lastLayer - a.lastLayer)
+    for (const endpoint of byLastLayer) {
+      if (boundaries.has(endpoint.lastLayer + 1)) boundaries.add(endpoint.firstLayer)
+    }
+    const known = new Set(graph.endpoints.map((endpoint) => endpoint.dataCentre))
+    return (boundary, dataCentre) => boundaries.has(boundary) && known.has(dataCentre)
+  }
+}
--- /dev/null
+++ b/packages/routing/src/lib/stage-host.ts
@@ -0,0 +1,283 @@
+/**
+ * Hosts the sessions of all requests at one model endpoint.
+ */
+import { ErrorKind, getErrorKind, getErrorMessage } from '@clementineloft/kernel'
+import type { Clock, Journal, Metrics, Timer } from '@clementineloft/kernel'
+import { EngineExecutor } from './engine-executor.js'
+import type { ExecutorOptions } from './engine-executor.js'
+import type { TeamWeights } from './fair-queue.js'
+import { getFrameRequest } from './frames.js'
+import type { Frame, Hop, OpenFrame, StepFrame, Token } from './frames.js'
+import type { ModelEngine } from './model-engine.js'
+import { StageSession, StepVerdict } from './stage-session.js'
+import type { Delivery, StageOutput } from './stage-session.js'
+
+const tombstoneMs = 120_000
+
+/** Sends frames away from a sidecar. */
+export abstract class StageOutlet {
+  /** Sends a frame to the entry behind a connection; does nothing if the connection is gone. */
+  abstract sendToEntry (connection: string, frame: Frame): void
+  /** Sends a frame to the next stage; a lost stage is reported by {@link StageHost.handleHopLost}. */
+  abstract sendToStage (next: Hop, frame: Frame): void
+  /** Tells the fleet that an engine crashed while requests with these fingerprints were running. */
+  abstract reportCrash (fingerprints: readonly string[]): void
+}
+
+/** Bounds of a stage host. */
+export interface StageHostOptions extends ExecutorOptions {
+  /** Requests held at the same time. */
+  maxSessions: number
+  /** Bound on the outputs kept for each request, in bytes. */
+  maxLogBytes: number
+}
+
+/** What a host asks of the rest of its process. */
+export interface StageHostContext {
+  /** Name of the endpoint. */
+  endpoint: string
+  clock: Clock
+  journal: Journal
+  metrics: Metrics
+  getWeight: TeamWeights
+  /** Whether a request with this fingerprint was running when an engine crashed. */
+  isSuspect: (fingerprint: string) => boolean
+  /** Whether a request with this fingerprint is refused everywhere. */
+  isQuarantined: (fingerprint: string) => boolean
+}
+
+interface HostedSession {
+  session: StageSession
+  /** Connection of the entry that drives the request. */
+  connection: string
+  engineSession: string
+  isLastStage: boolean
+  /** Ends when all accepted steps have run. */
+  tail: Promise<void>
+  isClosed: boolean
+  isRunning: boolean
+}
+
+/** Serves one endpoint's share of many pipelines. */
+export class StageHost {
+  private readonly sessions = new Map<string, HostedSession>()
+  private readonly tombstones = new Map<string, { attempt: number, timer: Timer }>()
+  private readonly executor: EngineExecutor
+  private isLeaving = false
+
+  constructor (
+    private readonly context: StageHostContext,
+    private readonly engine: ModelEngine,
+    private readonly outlet: StageOutlet,
+    private readonly options: StageHostOptions
+  ) {
+    this.executor = new EngineExecutor(engine, context.clock, options, context.getWeight)
+  }
+
+  /** @returns number of requests held, as the load reported to entries */
+  getLoad (): number {
+    return this.sessions.size
+  }
+
+  /** @returns number of steps that wait for the engine */
+  getBacklog (): number {
+    return this.executor.getBacklog()
+  }
+
+  /** @returns size of all output logs in bytes */
+  getLogBytes (): number {
+    return [...this.sessions.values()].reduce((sum, hosted) => sum + hosted.session.getLogBytes(), 0)
+  }
+
+  /** Refuses new requests from now on; those held go on. */
+  startLeaving (): void {
+    this.isLeaving = true
+  }
+
+  /**
+   * Takes a frame from an entry or from the stage before.
+   *
+   * @param connection - connection on which it arrived
+   * @param frame - the frame
+   */
+  handleFrame (connection: string, frame: Frame): void {
+    if (frame.step != null) {
+      this.handleStep(frame.step)
+      return
+    }
+    if (frame.open != null) {
+      void this.handleOpen(connection, frame.open)
+      return
+    }
+    const hosted = this.sessions.get(getFrameRequest(frame))
+    if (frame.close != null) {
+      this.addTombstone(frame.close.request, frame.close.attempt)
+      if (hosted !== undefined && frame.close.attempt >= hosted.session.getAttempt()) this.closeSession(hosted)
+      return
+    }
+    if (hosted === undefined) return
+    if (frame.forward != null) this.deliver(hosted, hosted.session.forward(frame.forward))
+    if (frame.reroute != null && hosted.session.reroute(frame.reroute)) this.sendStatus(hosted)
+    if (frame.probe != null && frame.probe.attempt === hosted.session.getAttempt()) this.sendStatus(hosted)
+  }
+
+  /** Ends the requests of an entry whose connection is gone. */
+  handleConnectionLost (connection: string): void {
+    for (const hosted of [...this.sessions.values()]) {
+      if (hosted.connection !== connection) continue
+      this.addTombstone(hosted.session.request, hosted.session.getAttempt())
+      this.closeSession(hosted)
+    }
+  }
+
+  /**
+   * Tells entries that the next stage of their requests cannot be reached.
+   *
+   * @param endpoint - name of the next stage's endpoint
+   */
+  handleHopLost (endpoint: string): void {
+    const message = `endpoint "${endpoint}" cannot be reached from "${this.context.endpoint}"`
+    for (const hosted of this.sessions.values()) {
+      const isAffected = hosted.session.getNextEndpoint() === endpoint
+      if (isAffected) this.sendFailed(hosted, ErrorKind.noCapacity, message, endpoint)
+    }
+  }
+
+  private async handleOpen (connection: string, open: OpenFrame): Promise<void> {
+    const refusal = this.findRefusal(open)
+    if (refusal !== undefined) {
+      this.refuse(connection, open, refusal.kind, refusal.message)
+      return
+    }
+    const older = this.sessions.get(open.request)
+    if (older !== undefined) this.closeSession(older)
+    const hosted: HostedSession = {
+      session: new StageSession(open, this.options.maxLogBytes),
+      connection,
+      engineSession: `${open.request}.${open.attempt}`,
+      isLastStage: open.next == null,
+      tail: Promise.resolve(),
+      isClosed: false,
+      isRunning: false
+    }
+    this.sessions.set(open.request, hosted)
+    const { request, team } = open
+    this.context.journal.record({ name: 'stage-open', request, team, endpoint: this.context.endpoint, detail: `layers ${open.firstLayer}-${open.lastLayer}, attempt ${open.attempt}` })
+    if (open.prompt === '') {
+      this.sendStatus(hosted)
+      return
+    }
+    try {
+      this.sendStatus(hosted, await this.engine.encode(open.model, open.prompt))
+    } catch (error) {
+      this.sendFailed(hosted, getErrorKind(error), getErrorMessage(error), this.context.endpoint)
+      this.closeSession(hosted)
+    }
+  }
+
+  private findRefusal (open: OpenFrame): { kind: ErrorKind, message: string } | undefined {
+    const { endpoint } = this.context
+    if (this.isLeaving) return { kind: ErrorKind.leaving, message: `endpoint "${endpoint}" is shutting down` }
+    const tombstone = this.tombstones.get(open.request)
+    const newest = Math.max(tombstone?.attempt ?? 0, this.sessions.get(open.request)?.session.getAttempt() ?? 0)
+    if (open.attempt <= newest) {
+      return { kind: ErrorKind.superseded, message: `attempt ${open.attempt} was replaced by ${newest} or ended` }
+    }
+    if (this.context.isQuarantined(open.fingerprint)) {
+      return { kind: ErrorKind.quarantined, message: 'the same request crashed several endpoints before' }
+    }
+    if (this.sessions.size >= this.options.maxSessions) {
+      return { kind: ErrorKind.overloaded, message: `endpoint "${endpoint}" holds ${this.sessions.size} requests` }
+    }
+    return undefined
+  }
+
+  private refuse (connection: string, open: OpenFrame, kind: ErrorKind, message: string): void {
+    this.context.metrics.count(`stage_refused_total{kind="${kind}"}`)
+    const { request, attempt, stage } = open
+    this.outlet.sendToEntry(connection, { refused: { request, attempt, stage, kind, message } })
+  }
+
+  private handleStep (step: StepFrame): void {
+    const hosted = this.sessions.get(step.request)
+    if (hosted === undefined) return
+    const decision = hosted.session.acceptStep(step)
+    this.context.metrics.count(`stage_steps_total{verdict="${decision.verdict}"}`)
+    if (decision.verdict === StepVerdict.gap) {
+      const message = `endpoint "${this.context.endpoint}" missed inputs before position ${step.position}`
+      this.sendFailed(hosted, ErrorKind.internal, message, this.context.endpoint)
+    }
+    if (decision.verdict !== StepVerdict.run) return
+    hosted.tail = hosted.tail.then(async () => { await this.runStep(hosted, decision.position, decision.rows) })
+  }
+
+  private async runStep (hosted: HostedSession, position: number, rows: Uint8Array[]): Promise<void> {
+    if (hosted.isClosed) return
+    const { session, engineSession, isLastStage } = hosted
+    const { model, firstLayer, lastLayer, team, fingerprint } = session
+    const step = { session: engineSession, model, firstLayer, lastLayer, isLastStage, position, rows }
+    const terms = { team, isSuspect: session.isSuspect || this.context.isSuspect(fingerprint) }
+    hosted.isRunning = true
+    try {
+      await this.executor.run(step, terms, (outputs) => { this.handleOutputs(hosted, outputs) })
+    } catch (error) {
+      this.handleStepError(hosted, error)
+    }
+    hosted.isRunning = false
+  }
+
+  private handleOutputs (hosted: HostedSession, outputs: StageOutput[]): void {
+    this.context.metrics.count('stage_rows_total', outputs.length)
+    if (!hosted.isClosed) this.deliver(hosted, hosted.session.complete(outputs))
+  }
+
+  private handleStepError (hosted: HostedSession, error: unknown): void {
+    if (hosted.isClosed) return
+    const kind = getErrorKind(error)
+    if (kind === ErrorKind.endpointFailed) this.reportCrash()
+    this.sendFailed(hosted, kind, getErrorMessage(error), this.context.endpoint)
+    this.closeSession(hosted)
+  }
+
+  private reportCrash (): void {
+    const running = [...this.sessions.values()].filter((other) => other.isRunning)
+    this.outlet.reportCrash(running.map((other) => other.session.fingerprint))
+  }
+
+  private deliver (hosted: HostedSession, delivery: Delivery | undefined): void {
+    if (delivery === undefined) return
+    const { request, stage } = hosted.session
+    const { attempt, position, outputs, next } = delivery
+    if (next === undefined) {
+      this.outlet.sendToEntry(hosted.connection, { tokens: { request, attempt, position, tokens: outputs as Token[] } })
+      return
+    }
+    const step = { request, attempt, stage: stage + 1, position, rows: outputs as Uint8Array[] }
+    this.outlet.sendToStage(next, { step })
+  }
+
+  private sendStatus (hosted: HostedSession, promptRows: Uint8Array[] = []): void {
+    this.outlet.sendToEntry(hosted.connection, { status: hosted.session.createStatus(promptRows) })
+  }
+
+  private sendFailed (hosted: HostedSession, kind: ErrorKind, message: string, culprit: string): void {
+    const { request, stage } = hosted.session
+    const attempt = hosted.session.getAttempt()
+    this.context.journal.record({ name: 'stage-failed', request, endpoint: culprit, detail: message })
+    this.outlet.sendToEntry(hosted.connection, { failed: { request, attempt, stage, kind, message, culprit } })
+  }
+
+  private closeSession (hosted: HostedSession): void {
+    if (hosted.isClosed) return
+    hosted.isClosed = true
+    if (this.sessions.get(hosted.session.request) === hosted) this.sessions.delete(hosted.session.request)
+    this.engine.endSession(hosted.engineSession)
+  }
+
+  private addTombstone (request: string, attempt: number): void {
+    const older = this.tombstones.get(request)
+    older?.timer.cancel()
+    const timer = this.context.clock.schedule(tombstoneMs, () => { this.tombstones.delete(request) })
+    this.tombstones.set(request, { attempt: Math.max(attempt, older?.attempt ?? 0), timer })
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/demo.ts
@@ -0,0 +1,62 @@
+/**
+ * The demo: starts a small system on loopback, sends a chat request and a booking, checks both, and stops everything.
+ */
+import { mkdtempSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { callService, isCorrect, streamChat } from './lib/caller.js'
+import { DemoFleet } from './lib/demo-fleet.js'
+import { programCommand, standInCommand } from './lib/program-paths.js'
+
+const prompt = 'Plan a walk for three dogs along the river.'
+const maxTokens = 24
+
+const print = (text: string): void => { process.stdout.write(`${text}\n`) }
+
+const showRuns = async (fleet: DemoFleet, request: string): Promise<void> => {
+  for (const sidecar of fleet.sidecars) {
+    const response = await fetch(`${sidecar.url}/rows`)
+    const rows = (await response.json() as Record<string, number>)[request]
+    if (rows !== undefined) print(`  ${sidecar.name} ran its layers for ${rows} positions`)
+  }
+}
+
+const runDemo = async (fleet: DemoFleet): Promise<boolean> => {
+  await fleet.start()
+  print(`started ${fleet.entries.length} entries, ${fleet.sidecars.length + fleet.workers.length} sidecars, ${fleet.sidecars.length} engines, 1 booking service`)
+  const [first, second] = fleet.entries.map((entry) => entry.url) as [string, string]
+  const answer = await streamChat(first, prompt, maxTokens)
+  print(`chat: status ${answer.status}, ${answer.tokenMs.length} tokens: ${answer.text.slice(0, 60)}…`)
+  await showRuns(fleet, answer.request)
+  const isRight = isCorrect(answer, prompt, fleet.layers, maxTokens)
+  print(`answer ${isRight ? 'equals' : 'DIFFERS FROM'} the independent computation`)
+  const booking = await callService(second, 'POST', '/bookings/slots', { park: 'Meewasin' }, 'demo-booking-1')
+  const repeat = await callService(first, 'POST', '/bookings/slots', { park: 'Meewasin' }, 'demo-booking-1')
+  const ledger = await (await fetch(`${fleet.workers[0]?.url}/ledger`)).json() as unknown[]
+  const isBookedOnce = booking.status === 201 && repeat.body['number'] === booking.body['number'] && ledger.length === 1
+  print(`booking: status ${booking.status}, number ${String(booking.body['number'])}; repeated by the other entry: same answer, ${ledger.length} in the ledger`)
+  return isRight && isBookedOnce
+}
+
+const fleet = new DemoFleet({
+  program: programCommand,
+  standIn: standInCommand,
+  folder: mkdtempSync(join(tmpdir(), 'clementineloft-demo-')),
+  entries: 2,
+  stages: [[0, 3], [4, 7], [8, 11]],
+  copies: 2,
+  workers: 1,
+  engineStepMs: 2,
+  bookingMs: 2
+})
+
+let isGood = false
+try {
+  isGood = await runDemo(fleet)
+} catch (error) {
+  print(`failed: ${error instanceof Error ? error.message : String(error)}; logs are in ${fleet.processes.folder}`)
+} finally {
+  await fleet.stop()
+}
+print(isGood ? 'demo passed' : 'demo FAILED')
+process.exitCode = isGood ? 0 : 1
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Stand-ins for what the platform gives, for tests and measurements.
+ */
+export * from './lib/memory-store.js'
+export * from './lib/model-fold.js'
--- /dev/null
+++ b/packages/stand-ins/src/lib/booking-server.ts
@@ -0,0 +1,38 @@
+/**
+ * A booking service as a process. Its ledger lists every booking that it received, and is the judge of what ran.
+ */
+import type { Server } from 'node:http'
+import { startStandInServer } from './stand-in-server.js'
+import type { StandInReply, StandInRequest } from './stand-in-server.js'
+
+/** One booking in the ledger. */
+export interface LedgerEntry {
+  /** Identity that the system gave the call. */
+  request: string
+  key: string
+  body: string
+}
+
+/** Books and looks up. */
+export class BookingServer {
+  private readonly ledger: LedgerEntry[] = []
+
+  /** @param bookMs - time that a booking takes, in milliseconds */
+  constructor (private readonly bookMs: number) {}
+
+  /** @param port - port to listen on */
+  async start (port: number): Promise<Server> {
+    return await startStandInServer(port, async (request) => await this.handle(request))
+  }
+
+  private async handle (request: StandInRequest): Promise<StandInReply> {
+    const { method, url, headers, body } = request
+    if (url.pathname === '/ledger') return { status: 200, body: this.ledger }
+    if (method === 'GET') return { status: 200, body: { bookings: this.ledger.length } }
+    const key = String(headers['idempotency-key'] ?? '')
+    this.ledger.push({ request: String(headers['x-request-id'] ?? ''), key, body })
+    const number = this.ledger.length
+    if (this.bookMs > 0) await new Promise((resolve) => { setTimeout(resolve, this.bookMs) })
+    return { status: 201, body: { number } }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/caller.ts
@@ -0,0 +1,88 @@
+/**
+ * A small caller: streams completions and checks them, and books.
+ */
+import { computeAnswer } from './model-fold.js'
+import { demoKey, demoModel } from './demo-fleet.js'
+
+/** A streamed answer as its caller saw it. */
+export interface StreamedAnswer {
+  request: string
+  text: string
+  /** Time of each token after the request, in milliseconds. */
+  tokenMs: number[]
+  finishReason: string | null
+  error: string | undefined
+  status: number
+}
+
+const authorization = `Bearer ${demoKey}`
+
+/** Streams a chat completion and collects it. */
+export const streamChat = async (
+  entryUrl: string,
+  prompt: string,
+  maxTokens: number,
+  handleToken: (count: number) => void = () => {}
+): Promise<StreamedAnswer> => {
+  const startedMs = performance.now()
+  const answer: StreamedAnswer = { request: '', text: '', tokenMs: [], finishReason: null, error: undefined, status: 0 }
+  const response = await fetch(`${entryUrl}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization, 'content-type': 'application/json' },
+    body: JSON.stringify({ model: demoModel, stream: true, max_tokens: maxTokens, messages: [{ role: 'user', content: prompt }] })
+  })
+  answer.status = response.status
+  answer.request = response.headers.get('x-request-id') ?? ''
+  if (response.status !== 200) return { ...answer, error: await response.text() }
+  let buffered = ''
+  const decoder = new TextDecoder()
+  for await (const bytes of response.body as unknown as AsyncIterable<Uint8Array>) {
+    buffered += decoder.decode(bytes, { stream: true })
+    const events = buffered.split('\n\n')
+    buffered = events.pop() as string
+    for (const event of events) {
+      if (event.startsWith('event: error')) answer.error = event
+      if (!event.startsWith('data: {')) continue
+      const [choice] = (JSON.parse(event.slice('data: '.length)) as {
+        choices: Array<{ delta: { content: string }, finish_reason: string | null }>
+      }).choices
+      if (choice === undefined) continue
+      answer.finishReason = choice.finish_reason
+      if (choice.delta.content === '') continue
+      answer.text += choice.delta.content
+      answer.tokenMs.push(performance.now() - startedMs)
+      handleToken(answer.tokenMs.length)
+    }
+  }
+  return answer
+}
+
+/** @returns whether an answer equals the independent computation */
+export const isCorrect = (answer: StreamedAnswer, prompt: string, layers: number, maxTokens: number): boolean =>
+  answer.error === undefined && answer.text === computeAnswer(answer.request, `user: ${prompt}`, layers, maxTokens)
+
+/** An answer of a plain service as its caller saw it. */
+export interface CalledAnswer {
+  status: number
+  body: Record<string, unknown>
+  ms: number
+}
+
+/** Calls a plain service. */
+export const callService = async (
+  entryUrl: string,
+  method: string,
+  path: string,
+  body?: unknown,
+  key?: string
+): Promise<CalledAnswer> => {
+  const startedMs = performance.now()
+  const response = await fetch(`${entryUrl}/services${path}`, {
+    method,
+    headers: { authorization, ...(key === undefined ? {} : { 'idempotency-key': key }) },
+    ...(body === undefined ? {} : { body: JSON.stringify(body) })
+  })
+  const text = await response.text()
+  const parsed = text === '' ? {} : JSON.parse(text) as Record<string, unknown>
+  return { status: response.status, body: parsed, ms: performance.now() - startedMs }
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/process-group.ts
@@ -0,0 +1,68 @@
+/**
+ * Starts and ends the separate processes of a demo or a failure test.
+ */
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { mkdirSync, openSync } from 'node:fs'
+import { join } from 'node:path'
+
+const startTimeoutMs = 15_000
+const pollMs = 25
+
+/** Processes by name. Each writes its output to a file of its own. */
+export class ProcessGroup {
+  private readonly processes = new Map<string, ChildProcess>()
+
+  /** @param folder - where outputs go */
+  constructor (readonly folder: string) {
+    mkdirSync(folder, { recursive: true })
+  }
+
+  /** Starts a process. */
+  start (name: string, command: readonly string[]): void {
+    const output = openSync(join(this.folder, `${name}.log`), 'a')
+    const [program, ...args] = command as [string, ...string[]]
+    this.processes.set(name, spawn(program, args, { stdio: ['ignore', output, output] }))
+  }
+
+  /** Sends a signal to a process. */
+  signal (name: string, signal: NodeJS.Signals): void {
+    this.processes.get(name)?.kill(signal)
+  }
+
+  /** @returns the process's identity in the operating system */
+  getPid (name: string): number {
+    return this.processes.get(name)?.pid ?? 0
+  }
+
+  /** Waits until a process has ended. */
+  async waitForEnd (name: string): Promise<number | null> {
+    const child = this.processes.get(name)
+    if (child === undefined || child.exitCode !== null || child.signalCode !== null) return child?.exitCode ?? null
+    return await new Promise((resolve) => { child.once('exit', (code) => { resolve(code) }) })
+  }
+
+  /** Ends all processes at once. */
+  async killAll (): Promise<void> {
+    for (const [name, child] of this.processes) {
+      if (child.exitCode === null && child.signalCode === null) child.kill('SIGKILL')
+      await this.waitForEnd(name)
+    }
+  }
+}
+
+/** Waits until a URL answers 200. */
+export const waitForUrl = async (url: string, timeoutMs = startTimeoutMs): Promise<void> => {
+  const endMs = Date.now() + timeoutMs
+  while (Date.now() < endMs) {
+    try {
+      const response = await fetch(url)
+      await response.arrayBuffer()
+      if (response.ok) return
+    } catch {
+      // The process is not listening yet.
+    }
+    await new Promise((resolve) => { setTimeout(resolve, pollMs) })
+  }
+  throw new Error(`${url} did not answer 200 within ${timeoutMs} ms`)
+}
