Replay logged outputs when a stage is lost; plans for operators; failure runner for streams

Cause: a lost stage must not break a stream, repeat work of survivors or mix answers. Ways weighed: restart from the prompt (kept as the fallback), replay from the log upstream (chosen), cache import (not built). Ruled out: counting a lost link as a crash of the request, since two racks lost at once would refuse innocents. Before: no case existed.

--- a/packages/clementineloft/src/lib/command-line.ts
+++ b/packages/clementineloft/src/lib/command-line.ts
@@ -5,6 +5,8 @@
 import { checkSettings, createError, ErrorKind, formatFault, getErrorMessage } from '@clementineloft/kernel'
 import { runEntry } from './entry.js'
 import { loadSettings, readSettingsFile } from './load-settings.js'
+import { runConfirmCommand, runPlanCommand, runStatusCommand, runTimelineCommand } from './operator-commands.js'
+import type { TimelineFilter } from './operator-commands.js'
 import { ProcessContext } from './process-context.js'
 import { settingsSchema } from './settings-schema.js'
 import type { Settings } from './settings-schema.js'
@@ -59,6 +61,16 @@
   program.command('entry <settings>', 'Serve callers').action(async (file: string) => { await serve('entry', file) })
   program.command('sidecar <settings>', 'Guard the endpoint beside it').action(async (file: string) => { await serve('sidecar', file) })
   program.command('check <settings>', 'Check a settings file and list every fault').action(check)
+  program.command('status <...admins>', 'Show the state of processes').action(runStatusCommand)
+  program.command('plan <admin> <...intent>', 'Say what an intent would change')
+    .action(async (admin: string, intent: string[]) => { await runPlanCommand(admin, intent.join(' ')) })
+  program.command('confirm <admin> <plan>', 'Bring a plan into force').action(runConfirmCommand)
+  program.command('timeline <...admins>', 'Show the events of processes in causal order')
+    .option('--request <id>', 'Only events of one request')
+    .option('--team <name>', 'Only events of one team')
+    .option('--endpoint <name>', 'Only events of one endpoint')
+    .option('--chrome <file>', 'Write the Chrome trace format to a file')
+    .action(async (admins: string[], filter: TimelineFilter) => { await runTimelineCommand(admins, filter) })
   program.help()
   program.version(version)
   try {
--- a/packages/clementineloft/src/lib/endpoint-directory.ts
+++ b/packages/clementineloft/src/lib/endpoint-directory.ts
@@ -33,11 +33,11 @@
   /** Takes a new configuration into use. */
   applyConfig (document: ConfigDocument): void {
     this.document = document
-    this.rebuild()
+    this.refresh()
   }
 
   /** Takes a new list of instances into use. */
-  rebuild (): void {
+  refresh (): void {
     const { document } = this
     if (document === undefined) return
     this.graphs = new Map()
--- a/packages/clementineloft/src/lib/entry.ts
+++ b/packages/clementineloft/src/lib/entry.ts
@@ -9,6 +9,7 @@
 import { EndpointDirectory } from './endpoint-directory.js'
 import { readBody, sendError, sendJson } from './http-server.js'
 import { NodeRuntime } from './node-runtime.js'
+import { addOperatorRoutes } from './operator-routes.js'
 import type { ProcessContext } from './process-context.js'
 import { RunManager } from './run-manager.js'
 import { ServiceHandler } from './service-handler.js'
@@ -49,13 +50,14 @@
       { maxHeaderSize: callers.max_header_bytes, requestTimeout: callers.body_timeout_ms, headersTimeout: callers.body_timeout_ms },
       (request, response) => { void this.handle(request, response) }
     )
+    addOperatorRoutes(this.runtime)
     replica.subscribe((document) => {
       this.directory.applyConfig(document)
       this.keys.applyConfig(document)
       this.runs.retainEndpoints()
     })
     this.runtime.admin.subscribeMembership(() => {
-      this.directory.rebuild()
+      this.directory.refresh()
       this.runs.retainEndpoints()
     })
   }
@@ -72,7 +74,8 @@
   async stop (): Promise<void> {
     this.runtime.startLeaving()
     this.server.close()
-    await this.runtime.drain(() => this.runs.countRuns() + this.services.countCalls())
+    const longestMs = Math.max(this.settings.shutdown.grace_ms, this.settings.callers.default_deadline_ms)
+    await this.runtime.drain(() => this.runs.countRuns() + this.services.countCalls(), longestMs)
     this.server.closeAllConnections()
     this.runs.close()
     this.services.close()
--- a/packages/clementineloft/src/lib/node-runtime.ts
+++ b/packages/clementineloft/src/lib/node-runtime.ts
@@ -92,13 +92,14 @@
   }
 
   /**
-   * Waits until work in flight has ended or the grace period is over, then stops.
+   * Waits until work in flight has ended, then stops.
    *
    * @param countInFlight - number of pieces of work that still run
+   * @param longestMs - longest time to wait, in milliseconds
    */
-  async drain (countInFlight: () => number): Promise<void> {
-    const { clock, settings, log } = this.context
-    const endMs = clock.now() + settings.shutdown.grace_ms
+  async drain (countInFlight: () => number, longestMs: number): Promise<void> {
+    const { clock, log } = this.context
+    const endMs = clock.now() + longestMs
     while (countInFlight() > 0 && clock.now() < endMs) {
       await new Promise((resolve) => { setTimeout(resolve, drainPollMs) })
     }
--- a/packages/clementineloft/src/lib/service-handler.ts
+++ b/packages/clementineloft/src/lib/service-handler.ts
@@ -203,18 +203,17 @@
 
   /** Rejects early if the endpoint has stopped responding while a call is running there. */
   private async watchSilence (answer: Promise<wire.CallReply>, endpoint: ServiceEndpoint): Promise<wire.CallReply> {
-    const { clock } = this.runtime.context
-    let isSettled = false
-    const settled = answer.finally(() => { isSettled = true })
+    const progress = { isSettled: false }
+    const settled = answer.finally(() => { progress.isSettled = true })
     settled.catch(() => {})
-    const silence = async (): Promise<wire.CallReply> => {
-      while (!isSettled) {
-        await clock.wait(resolveAfterMs)
-        if (!isSettled) await this.ping(endpoint)
-      }
-      return await settled
+    return await Promise.race([settled, this.pingUntilSettled(progress, endpoint).then(async () => await settled)])
+  }
+
+  private async pingUntilSettled (progress: { isSettled: boolean }, endpoint: ServiceEndpoint): Promise<void> {
+    while (!progress.isSettled) {
+      await this.runtime.context.clock.wait(resolveAfterMs)
+      if (!progress.isSettled) await this.ping(endpoint)
     }
-    return await Promise.race([settled, silence()])
   }
 
   /** Learns the incarnation of an endpoint before the first call to it. */
@@ -247,17 +246,13 @@
   ): Promise<wire.CallReply> {
     if (call.isIdempotent) throw cause
     const { context } = this.runtime
-    const unknown = (error: unknown): Error => createError(
-      ErrorKind.outcomeUnknown, `endpoint "${endpoint.name}" was lost during the call: ${getErrorMessage(error)}`,
-      { outcome: Outcome.unknown, cause: error }
-    )
-    if (target === '') throw unknown(cause)
+    if (target === '') throw createLostError(endpoint.name, cause)
     let reply: wire.CallReply
     try {
       const message = { header: context.createHeader(), request: call.message.request as string, target }
       reply = await this.getClient(endpoint).call(sidecarService.resolve, message, resolveTimeoutMs)
     } catch (error) {
-      throw unknown(error)
+      throw createLostError(endpoint.name, error)
     }
     return await this.checkReply(call, endpoint, reply)
   }
@@ -308,6 +303,11 @@
   }
 }
 
+const createLostError = (endpoint: string, cause: unknown): Error =>
+  createError(ErrorKind.outcomeUnknown, `endpoint "${endpoint}" was lost during the call: ${getErrorMessage(cause)}`, {
+    outcome: Outcome.unknown, cause
+  })
+
 const answers = new WeakSet<Error>()
 
 /** Marks an error as the sidecar's own answer, which is final unless it proves that the call did not run. */
--- a/packages/clementineloft/src/lib/service-sidecar.ts
+++ b/packages/clementineloft/src/lib/service-sidecar.ts
@@ -84,6 +84,9 @@
     this.gate.startLeaving()
   }
 
+  /** Calls cannot be moved; they end by their own time limit. */
+  moveWork (): void {}
+
   /** @returns number of calls that are running */
   countInFlight (): number {
     return this.inFlight
--- a/packages/clementineloft/src/lib/settings-schema.ts
+++ b/packages/clementineloft/src/lib/settings-schema.ts
@@ -43,7 +43,7 @@
 }).describe('Logs on standard output')
 
 const shutdown = z.strictObject({
-  grace_ms: milliseconds.default(20_000).describe('longest time that a shutdown waits for work in flight, in milliseconds')
+  grace_ms: milliseconds.default(20_000).describe('time that a shutdown leaves work in flight where it is, in milliseconds; after that a sidecar asks entries to move it')
 }).describe('Graceful shutdown')
 
 const common = {
--- a/packages/clementineloft/src/lib/sidecar.ts
+++ b/packages/clementineloft/src/lib/sidecar.ts
@@ -8,6 +8,8 @@
 import { createPlainCredentials } from './stage-link.js'
 import { StageSidecar } from './stage-sidecar.js'
 
+const moveMs = 10_000
+
 /**
  * Starts a sidecar.
  *
@@ -29,6 +31,9 @@
   return async () => {
     guard.startLeaving()
     runtime.startLeaving()
-    await runtime.drain(() => guard.countInFlight())
+    const { grace_ms: graceMs } = settings.shutdown
+    const moving = context.clock.schedule(graceMs, () => { guard.moveWork() })
+    await runtime.drain(() => guard.countInFlight(), graceMs + moveMs)
+    moving.cancel()
   }
 }
--- a/packages/clementineloft/src/lib/stage-sidecar.ts
+++ b/packages/clementineloft/src/lib/stage-sidecar.ts
@@ -99,6 +99,11 @@
     this.host.startLeaving()
   }
 
+  /** Asks entries to move what is left to other endpoints. */
+  moveWork (): void {
+    this.host.evictAll()
+  }
+
   /** @returns number of requests held */
   countInFlight (): number {
     return this.host.getLoad()
--- a/packages/routing/src/lib/stage-host.ts
+++ b/packages/routing/src/lib/stage-host.ts
@@ -94,6 +94,12 @@
     this.isLeaving = true
   }
 
+  /** Asks entries to move the requests held here to other endpoints; each is served until its entry closes it. */
+  evictAll (): void {
+    const message = `endpoint "${this.context.endpoint}" is shutting down`
+    for (const hosted of this.sessions.values()) this.sendFailed(hosted, ErrorKind.leaving, message, this.context.endpoint)
+  }
+
   /**
    * Takes a frame from an entry or from the stage before.
    *
--- /dev/null
+++ b/packages/stand-ins/src/faults.ts
@@ -0,0 +1,54 @@
+/**
+ * Brings failures about on real processes and prints what came of each. `faults.js NAME…` runs only cases whose name
+ * holds one of the names.
+ */
+import { streamSuite } from './faults/stream-faults.js'
+import type { FaultCase, FaultResult, FaultSuite } from './faults/fault-case.js'
+
+const suites: FaultSuite[] = [streamSuite]
+const wanted = process.argv.slice(2)
+
+const print = (text: string): void => { process.stdout.write(`${text}\n`) }
+
+const isWanted = (fault: FaultCase): boolean => wanted.length === 0 || wanted.some((name) => fault.name.includes(name))
+
+const formatRecovery = (recoveryMs: readonly number[]): string => {
+  if (recoveryMs.length === 0) return '-'
+  const sorted = [...recoveryMs].sort((a, b) => a - b)
+  const median = sorted[Math.floor(sorted.length / 2)] as number
+  return `${median.toFixed(0)} / ${(sorted.at(-1) as number).toFixed(0)} ms`
+}
+
+const judge = (fault: FaultCase, result: FaultResult): boolean => {
+  const bound = fault.recoveryBoundMs
+  return result.isKept && (bound === undefined || Math.max(...result.recoveryMs) <= bound)
+}
+
+const runSuite = async (suite: FaultSuite): Promise<number> => {
+  const cases = suite.cases.filter(isWanted)
+  if (cases.length === 0) return 0
+  const fleet = suite.createFleet()
+  let failures = 0
+  try {
+    await fleet.start()
+    for (const fault of cases) {
+      const result = await fault.run(fleet)
+      const isPassed = judge(fault, result)
+      if (!isPassed) failures++
+      print(`| ${suite.name} | ${fault.name} | ${fault.done} | ${isPassed ? 'kept' : 'BROKEN'}: ${result.seen} | ${formatRecovery(result.recoveryMs)} | ${fault.recoveryBoundMs ?? '-'} |`)
+    }
+  } catch (error) {
+    failures++
+    print(`${suite.name}: ${error instanceof Error ? error.stack : String(error)}; logs are in ${fleet.processes.folder}`)
+  } finally {
+    await fleet.stop()
+  }
+  return failures
+}
+
+print('| promise | case | what was done | result | recovery p50 / max | bound ms |')
+print('| --- | --- | --- | --- | --- | --- |')
+let failed = 0
+for (const suite of suites) failed += await runSuite(suite)
+print(failed === 0 ? 'all promises kept' : `${failed} case(s) failed`)
+process.exitCode = failed === 0 ? 0 : 1
--- a/packages/stand-ins/src/lib/demo-fleet.ts
+++ b/packages/stand-ins/src/lib/demo-fleet.ts
@@ -7,6 +7,7 @@
 import type { Instance } from '@clementineloft/coordination'
 import { computeDigest } from '@clementineloft/kernel'
 import type { ConfigDocument } from 'clementineloft'
+import { Relay } from './relay.js'
 import { ProcessGroup, waitForUrl } from './process-group.js'
 
 /** Size of a fleet. */
@@ -25,6 +26,8 @@
   workers: number
   engineStepMs: number
   bookingMs: number
+  /** Grace period of a shutdown, in milliseconds. */
+  graceMs?: number
 }
 
 /** Addresses of one process. */
@@ -44,6 +47,7 @@
 
 const host = '127.0.0.1'
 const dataCentre = 'saskatoon'
+const defaultGraceMs = 20_000
 
 /** @returns ports that were free a moment ago */
 const findPorts = async (count: number): Promise<number[]> => {
@@ -65,6 +69,8 @@
   readonly workers: FleetMember[] = []
   readonly layers: number
   platformUrl = ''
+  /** Relays in front of sidecars, by name. */
+  readonly relays = new Map<string, Relay>()
   private instances: Instance[] = []
   private ports: number[] = []
 
@@ -76,7 +82,7 @@
   /** Starts all processes and waits until every entry is ready. */
   async start (): Promise<void> {
     const { entries, stages, copies, workers } = this.options
-    this.ports = await findPorts(1 + entries * 3 + (stages.length * copies + workers) * 3)
+    this.ports = await findPorts(1 + entries * 3 + (stages.length * copies + workers) * 4)
     const platformPort = this.takePort()
     this.platformUrl = `http://${host}:${platformPort}`
     this.processes.start('platform', [...this.options.standIn, 'platform', String(platformPort)])
@@ -94,6 +100,7 @@
 
   /** Ends all processes. */
   async stop (): Promise<void> {
+    for (const relay of this.relays.values()) relay.close()
     await this.processes.killAll()
   }
 
@@ -157,12 +164,19 @@
       `role = "${role}"\n`,
       `[instance]\nname = "${name}"\ndata_centre = "${dataCentre}"\naddress = "${address}"\nadmin_address = "${admin}"\n`,
       `[platform]\nstore_url = "${this.platformUrl}"\nlist_url = "${this.platformUrl}"\nlist_interval_ms = 500\n`,
+      `[shutdown]\ngrace_ms = ${this.options.graceMs ?? defaultGraceMs}\n`,
       beside
     ].join('\n'))
-    this.instances.push({ name, role, address, dataCentre, state: 'live' })
+    this.instances.push({ name, role, address: role === 'entry' ? address : this.startRelay(name, address), dataCentre, state: 'live' })
     return { name, address, adminUrl: `http://${admin}`, url: `http://${other}` }
   }
 
+  private startRelay (name: string, address: string): string {
+    const port = this.takePort()
+    this.relays.set(name, new Relay(port, Number(address.split(':')[1])))
+    return `${host}:${port}`
+  }
+
   private createDocument (): ConfigDocument {
     const document: ConfigDocument = {
       teams: { bramble: { class: 'paying', weight: 1, keyDigests: [computeDigest(demoKey)] } },
