--- a/packages/clementineloft/src/lib/completion-handler.ts
+++ b/packages/clementineloft/src/lib/completion-handler.ts
@@ -99,6 +99,7 @@
     private readonly completion: CompletionRequest,
     private readonly request: string,
     private readonly team: string,
+    private readonly fingerprint: string,
     private readonly incoming: IncomingMessage,
     private readonly response: ServerResponse,
     private readonly handleEnd: () => void
@@ -126,6 +127,7 @@
 
   override handleDone (): void {
     this.handleEnd()
+    this.context.crashes.clear(this.fingerprint)
     this.context.metrics.count('requests_total{outcome="ok"}')
     this.record('request-done', `${this.progress.tokens} tokens`)
     this.progress.finishReason ??= 'length'
@@ -238,7 +240,7 @@
     const run = this.manager.start(
       { request, team: team.name, model, prompt, fingerprint, isSuspect, maxTokens, deadlineMs: this.deadlineMs },
       (handleEnd) => {
-        const writer = new CompletionWriter(this.context, completion, request, team.name, incoming, response, handleEnd)
+        const writer = new CompletionWriter(this.context, completion, request, team.name, fingerprint, incoming, response, handleEnd)
         writers.push(writer)
         return writer
       }
--- a/packages/clementineloft/src/lib/endpoint-directory.ts
+++ b/packages/clementineloft/src/lib/endpoint-directory.ts
@@ -28,7 +28,9 @@
   constructor (
     private readonly membership: Membership,
     private readonly clock: Clock
-  ) {}
+  ) {
+    membership.subscribeRestarts((name) => { this.avoidedUntilMs.delete(name) })
+  }
 
   /** Takes a new configuration into use. */
   applyConfig (document: ConfigDocument): void {
@@ -53,9 +55,14 @@
     return this.graphs.get(model)
   }
 
-  /** @returns the endpoints of a plain service, leaving ones left out, or `undefined` for an unknown service */
+  /**
+   * @returns the endpoints of a plain service that take work, avoided ones only if there are no others; `undefined` for
+   *   an unknown service
+   */
   findService (service: string): ServiceEndpoint[] | undefined {
-    return this.services.get(service)?.filter((endpoint) => this.isUsable(endpoint.name))
+    const serving = this.services.get(service)?.filter((endpoint) => this.isServing(endpoint.name))
+    const preferred = serving?.filter((endpoint) => !this.isAvoided(endpoint.name))
+    return preferred?.length === 0 ? serving : preferred
   }
 
   /** @returns an endpoint of a plain service, whatever its state */
@@ -63,10 +70,14 @@
     return this.services.get(service)?.find((endpoint) => endpoint.name === name)
   }
 
-  /** @returns whether new work may go to an endpoint */
-  isUsable (name: string): boolean {
-    if (this.document?.endpoints[name]?.state !== 'serving') return false
-    return this.membership.isServing(name) && (this.avoidedUntilMs.get(name) ?? 0) <= this.clock.now()
+  /** @returns whether an endpoint takes new work by its own word, the list and the configuration */
+  isServing (name: string): boolean {
+    return this.document?.endpoints[name]?.state === 'serving' && this.membership.isServing(name)
+  }
+
+  /** @returns whether an endpoint has failed a moment ago */
+  isAvoided (name: string): boolean {
+    return (this.avoidedUntilMs.get(name) ?? 0) > this.clock.now()
   }
 
   /**
--- a/packages/clementineloft/src/lib/http-model-engine.ts
+++ b/packages/clementineloft/src/lib/http-model-engine.ts
@@ -2,7 +2,7 @@
  * Adapter of a model engine over HTTP. Steps of the same turn of the event loop travel in one call, for the engine to
  * batch.
  */
-import { createError, ErrorKind, getErrorMessage } from '@clementineloft/kernel'
+import { createError, ErrorKind, getErrorMessage, getErrorOutcome, Outcome } from '@clementineloft/kernel'
 import { ModelEngine } from '@clementineloft/routing'
 import type { EngineStep, StageOutput } from '@clementineloft/routing'
 import { modelEngines } from './adapters.js'
@@ -29,7 +29,7 @@
 
 const encodeRow = (row: Uint8Array): string => Buffer.from(row).toString('base64')
 
-/** Speaks `POST /v1/encode`, `/v1/steps` and `/v1/end`. */
+/** Speaks `POST /v1/encode`, `/v1/steps` and `/v1/end`, and `GET /v1/health`. */
 export class HttpModelEngine extends ModelEngine {
   private readonly client = new HttpClient()
   private pending: PendingStep[] = []
@@ -53,6 +53,10 @@
     })
   }
 
+  override async check (): Promise<void> {
+    await this.client.send({ method: 'GET', url: new URL('/v1/health', this.url), headers: {}, timeoutMs: this.timeoutMs })
+  }
+
   override endSession (session: string): void {
     this.post('/v1/end', { session }).catch(() => {
       // An engine that is gone holds no session.
@@ -68,7 +72,9 @@
       const { results } = JSON.parse(reply.body.toString()) as { results: StepResult[] }
       batch.forEach((pending, index) => { this.settle(pending, results[index]) })
     } catch (error) {
-      const failure = createError(ErrorKind.endpointFailed, `engine failed: ${getErrorMessage(error)}`, { cause: error })
+      const failure = createError(ErrorKind.endpointFailed, `engine failed: ${getErrorMessage(error)}`, {
+        outcome: getErrorOutcome(error), cause: error
+      })
       for (const pending of batch) pending.reject(failure)
     }
   }
@@ -76,7 +82,7 @@
   private settle (pending: PendingStep, result: StepResult | undefined): void {
     const { step } = pending
     if (result?.session !== step.session || result.position !== step.position) {
-      pending.reject(createError(ErrorKind.endpointFailed, 'engine answered for another request'))
+      pending.reject(createError(ErrorKind.internal, 'engine answered for another request'))
       return
     }
     if (result.error !== undefined) {
@@ -90,7 +96,7 @@
   private async post (path: string, body: unknown): Promise<HttpReply> {
     const reply = await this.client.sendJson('POST', new URL(path, this.url), body, this.timeoutMs)
     if (reply.status === 200) return reply
-    throw createError(ErrorKind.endpointFailed, `engine answered ${reply.status} to ${path}`)
+    throw createError(ErrorKind.endpointFailed, `engine answered ${reply.status} to ${path}`, { outcome: Outcome.unknown })
   }
 }
 
--- a/packages/clementineloft/src/lib/run-manager.ts
+++ b/packages/clementineloft/src/lib/run-manager.ts
@@ -1,13 +1,14 @@
 /**
  * All pipeline runs of one entry, over one pool of links.
  */
-import type { ProcessContext } from './process-context.js'
-import type { clementineloft as wire } from '../../generated/wire.js'
+import { ErrorKind } from '@clementineloft/kernel'
 import { getFrameRequest, LoadTable, PipelinePicker, PipelineRun, StagePort, StageSource } from '@clementineloft/routing'
 import type { Frame, ModelGraph, RunListener, RunOptions, RunRequest, StageEndpoint } from '@clementineloft/routing'
+import type { clementineloft as wire } from '../../generated/wire.js'
 import type { EndpointDirectory } from './endpoint-directory.js'
 import { LinkListener, LinkPool } from './link-pool.js'
 import type { NodeRuntime } from './node-runtime.js'
+import type { ProcessContext } from './process-context.js'
 
 /** Picks endpoints for the runs of one model. */
 class GraphSource extends StageSource {
@@ -20,17 +21,22 @@
   }
 
   override pick (excluded: ReadonlySet<string>): StageEndpoint[] | undefined {
-    const graph = this.findGraph()
-    return graph === undefined ? undefined : this.picker.pick(graph, this.createFilter(excluded))
+    return this.pickPreferred(excluded, (graph, isUsable) => this.picker.pick(graph, isUsable))
   }
 
   override pickReplacement (replaced: StageEndpoint, excluded: ReadonlySet<string>): StageEndpoint | undefined {
-    const graph = this.findGraph()
-    return graph === undefined ? undefined : this.picker.pickReplacement(graph, replaced, this.createFilter(excluded))
+    return this.pickPreferred(excluded, (graph, isUsable) => this.picker.pickReplacement(graph, replaced, isUsable))
   }
 
-  private createFilter (excluded: ReadonlySet<string>): (name: string) => boolean {
-    return (name) => !excluded.has(name) && this.directory.isUsable(name)
+  /** Picks among endpoints that have not failed a moment ago, and among all that serve if those do not suffice. */
+  private pickPreferred<T> (
+    excluded: ReadonlySet<string>,
+    pick: (graph: ModelGraph, isUsable: (name: string) => boolean) => T | undefined
+  ): T | undefined {
+    const graph = this.findGraph()
+    if (graph === undefined) return undefined
+    const isServing = (name: string): boolean => !excluded.has(name) && this.directory.isServing(name)
+    return pick(graph, (name) => isServing(name) && !this.directory.isAvoided(name)) ?? pick(graph, isServing)
   }
 }
 
@@ -122,6 +128,9 @@
 
   /** Takes a frame from a sidecar. */
   handleFrame (endpoint: string, frame: Frame): void {
+    const { failed, refused } = frame
+    if (failed?.kind === ErrorKind.noCapacity || failed?.kind === ErrorKind.endpointFailed) this.directory.avoid(failed.culprit)
+    if (refused?.kind === ErrorKind.noCapacity) this.directory.avoid(endpoint)
     this.runs.get(getFrameRequest(frame))?.handleFrame(endpoint, frame)
   }
 
--- a/packages/clementineloft/src/lib/service-handler.ts
+++ b/packages/clementineloft/src/lib/service-handler.ts
@@ -15,8 +15,9 @@
 import type { NodeRuntime } from './node-runtime.js'
 import { UnaryClient } from './unary-client.js'
 
-const resolveAfterMs = 800
-const resolveTimeoutMs = 800
+const pingIntervalMs = 500
+const pingTimeoutMs = 500
+const resolveTimeoutMs = 500
 const ticketTimeoutMs = 800
 const maxAttempts = 4
 const maxKeyLength = 255
@@ -182,7 +183,10 @@
     throw createError(ErrorKind.outcomeUnknown, `the endpoint "${name}" of this key no longer exists`, { outcome: Outcome.unknown })
   }
 
-  /** Calls an endpoint; when no answer comes, asks the same process what became of the call. */
+  /**
+   * Calls an endpoint. When no answer comes, asks the same process what became of the call, unless another endpoint may
+   * be asked to run it: claims on its key, or its nature, then keep a repeat from doing harm.
+   */
   private async callSettled (call: RoutedCall, endpoint: ServiceEndpoint, target: string): Promise<wire.CallReply> {
     const { context } = this.runtime
     const { clock, membership } = context
@@ -197,6 +201,8 @@
     } catch (error) {
       if (isAnswer(error) || getErrorOutcome(error) === Outcome.notRun) throw error
       this.directory.avoid(endpoint.name)
+      const isGuarded = call.isIdempotent || (call.key !== '' && target === '')
+      if (isGuarded) throw createLostError(endpoint.name, error)
       return await this.resolve(call, endpoint, known, error)
     }
   }
@@ -211,7 +217,7 @@
 
   private async pingUntilSettled (progress: { isSettled: boolean }, endpoint: ServiceEndpoint): Promise<void> {
     while (!progress.isSettled) {
-      await this.runtime.context.clock.wait(resolveAfterMs)
+      await this.runtime.context.clock.wait(pingIntervalMs)
       if (!progress.isSettled) await this.ping(endpoint)
     }
   }
@@ -234,7 +240,7 @@
   private async ping (endpoint: ServiceEndpoint): Promise<void> {
     const { context } = this.runtime
     const message = { header: context.createHeader() }
-    const reply = await this.getClient(endpoint).call(peerService.exchange, message, resolveTimeoutMs)
+    const reply = await this.getClient(endpoint).call(peerService.exchange, message, pingTimeoutMs)
     context.mergeHeader(reply.header)
   }
 
@@ -244,7 +250,6 @@
     target: string,
     cause: unknown
   ): Promise<wire.CallReply> {
-    if (call.isIdempotent) throw cause
     const { context } = this.runtime
     if (target === '') throw createLostError(endpoint.name, cause)
     let reply: wire.CallReply
--- a/packages/clementineloft/src/lib/service-sidecar.ts
+++ b/packages/clementineloft/src/lib/service-sidecar.ts
@@ -78,10 +78,10 @@
     metrics.registerGauge('service_call_records', () => this.gate.countRecords())
   }
 
-  /** Refuses new calls from now on. */
-  startLeaving (): void {
-    this.isLeaving = true
-    this.gate.startLeaving()
+  /** @param isLeaving - whether new calls are refused */
+  setLeaving (isLeaving: boolean): void {
+    this.isLeaving = isLeaving
+    this.gate.setLeaving(isLeaving)
   }
 
   /** Calls cannot be moved; they end by their own time limit. */
@@ -142,7 +142,7 @@
     context.mergeHeader(message.header)
     this.inFlight++
     try {
-      if ('service' in message) this.checkTarget(message.target)
+      if ('service' in message && !message.isTicket) this.checkTarget(message.target)
       const answer = await run()
       context.journal.record({ name: 'call-answered', request, endpoint: this.endpoint, detail: `status ${answer.status}` })
       callback(null, {
--- a/packages/clementineloft/src/lib/sidecar.ts
+++ b/packages/clementineloft/src/lib/sidecar.ts
@@ -20,17 +20,19 @@
   const guard = settings.engine !== undefined
     ? new StageSidecar(runtime, settings.engine)
     : new ServiceSidecar(runtime, settings.service as NonNullable<SidecarSettings['service']>)
-  context.replica.subscribe((document) => {
-    const state = document.endpoints[settings.instance.name]?.state
-    if (state === 'leaving' || state === 'retired') guard.startLeaving()
-  })
-  runtime.admin.subscribeMembership(() => {
-    if (context.membership.find(settings.instance.name)?.state === 'leaving') guard.startLeaving()
-  })
+  const { name } = settings.instance
+  const applyLeaving = (): void => {
+    const state = context.replica.getDocument()?.endpoints[name]?.state
+    const isRetired = state === 'leaving' || state === 'retired'
+    const isListedLeaving = context.membership.find(name)?.state === 'leaving'
+    guard.setLeaving(context.isLeaving || isRetired || isListedLeaving)
+  }
+  context.replica.subscribe(applyLeaving)
+  runtime.admin.subscribeMembership(applyLeaving)
   await runtime.start()
   return async () => {
-    guard.startLeaving()
     runtime.startLeaving()
+    applyLeaving()
     const { grace_ms: graceMs } = settings.shutdown
     const moving = context.clock.schedule(graceMs, () => { guard.moveWork() })
     await runtime.drain(() => guard.countInFlight(), graceMs + moveMs)
--- a/packages/clementineloft/src/lib/stage-sidecar.ts
+++ b/packages/clementineloft/src/lib/stage-sidecar.ts
@@ -13,6 +13,8 @@
 import type { NodeRuntime } from './node-runtime.js'
 import type { SidecarSettings } from './settings-schema.js'
 
+const crashReportMs = 300
+
 type Connection = ServerDuplexStream<wire.Batch, wire.IBatch>
 
 /** Batches the frames of one turn of the event loop towards one entry. */
@@ -94,9 +96,9 @@
     metrics.registerGauge('stage_log_bytes', () => this.host.getLogBytes())
   }
 
-  /** Refuses new requests from now on. */
-  startLeaving (): void {
-    this.host.startLeaving()
+  /** @param isLeaving - whether new requests are refused */
+  setLeaving (isLeaving: boolean): void {
+    this.host.setLeaving(isLeaving)
   }
 
   /** Asks entries to move what is left to other endpoints. */
@@ -117,9 +119,11 @@
     this.hops.send(next.endpoint, next.address, frame)
   }
 
-  override reportCrash (fingerprints: readonly string[]): void {
-    const endpoint = this.runtime.context.settings.instance.name
-    void this.runtime.broadcastCrash({ endpoint, fingerprints: [...fingerprints] })
+  override async reportCrash (fingerprints: readonly string[]): Promise<void> {
+    const { context } = this.runtime
+    const endpoint = context.settings.instance.name
+    const report = this.runtime.broadcastCrash({ endpoint, fingerprints: [...fingerprints] })
+    await Promise.race([report, context.clock.wait(crashReportMs)])
   }
 
   private acceptConnection (stream: Connection): void {
--- a/packages/coordination/src/lib/call-gate.ts
+++ b/packages/coordination/src/lib/call-gate.ts
@@ -61,9 +61,9 @@
     private readonly retentionMs: number
   ) {}
 
-  /** Refuses new calls from now on; calls already here go on. */
-  startLeaving (): void {
-    this.isLeaving = true
+  /** @param isLeaving - whether new calls are refused; calls already here go on */
+  setLeaving (isLeaving: boolean): void {
+    this.isLeaving = isLeaving
   }
 
   /** @returns number of calls remembered */
--- a/packages/coordination/src/lib/membership.ts
+++ b/packages/coordination/src/lib/membership.ts
@@ -44,6 +44,7 @@
   private byName = new Map<string, Instance>()
   private readonly leavingIncarnations = new Map<string, string>()
   private readonly incarnations = new Map<string, string>()
+  private readonly restartListeners: Array<(name: string) => void> = []
 
   /** @param listing - a newer listing */
   apply (listing: InstanceListing): void {
@@ -81,7 +82,16 @@
    * @param incarnation - identity of its process
    */
   recordIncarnation (name: string, incarnation: string): void {
+    const earlier = this.incarnations.get(name)
+    if (earlier === incarnation) return
     this.incarnations.set(name, incarnation)
+    if (earlier === undefined) return
+    for (const listener of this.restartListeners) listener(name)
+  }
+
+  /** @param listener - called with the name of an instance that has been heard from as a new process */
+  subscribeRestarts (listener: (name: string) => void): void {
+    this.restartListeners.push(listener)
   }
 
   /**
--- a/packages/routing/src/lib/engine-executor.ts
+++ b/packages/routing/src/lib/engine-executor.ts
@@ -2,7 +2,7 @@
  * Runs engine steps in fair order, at most a batch at a time, and suspects of a crash alone.
  */
 import PQueue from 'p-queue'
-import { createError, ErrorKind } from '@clementineloft/kernel'
+import { createError, ErrorKind, getErrorKind, getErrorOutcome, Outcome } from '@clementineloft/kernel'
 import type { Clock } from '@clementineloft/kernel'
 import { createFairQueueClass } from './fair-queue.js'
 import type { FairQueue, FairQueueOptions, TeamWeights } from './fair-queue.js'
@@ -22,20 +22,28 @@
 /** For whom a step runs. */
 export interface StepTerms {
   team: string
+  /** Fingerprint of the request. */
+  fingerprint: string
   /** Whether the request was running when an engine crashed, so that it must run alone. */
   isSuspect: boolean
 }
 
+/** @returns whether an error shows that the engine died while it was running a step */
+export const isEngineCrash = (error: unknown): boolean =>
+  getErrorKind(error) === ErrorKind.endpointFailed && getErrorOutcome(error) === Outcome.unknown
+
 /** Queues steps in front of one engine. */
 export class EngineExecutor {
   private readonly queue: PQueue<FairQueue, FairQueueOptions>
+  private readonly running = new Set<StepTerms>()
   private readonly suspects = new PQueue({ concurrency: 1 })
 
   constructor (
     private readonly engine: ModelEngine,
     private readonly clock: Clock,
     private readonly options: ExecutorOptions,
-    getWeight: TeamWeights
+    getWeight: TeamWeights,
+    private readonly handleCrash: (fingerprints: string[]) => void
   ) {
     this.queue = new PQueue({ concurrency: options.maxBatch, queueClass: createFairQueueClass(getWeight) })
   }
@@ -61,27 +69,34 @@
   }
 
   private async runChunk (chunk: EngineStep, terms: StepTerms): Promise<StageOutput[]> {
-    if (terms.isSuspect) return await this.suspects.add(async () => await this.runAlone(chunk)) as StageOutput[]
+    if (terms.isSuspect) return await this.suspects.add(async () => await this.runAlone(chunk, terms)) as StageOutput[]
     const cost = chunk.rows.length * (chunk.lastLayer - chunk.firstLayer + 1)
     const options = { team: terms.team, cost }
-    return await this.queue.add(async () => await this.runBounded(chunk), options) as StageOutput[]
+    return await this.queue.add(async () => await this.runBounded(chunk, terms), options) as StageOutput[]
   }
 
-  private async runAlone (chunk: EngineStep): Promise<StageOutput[]> {
+  private async runAlone (chunk: EngineStep, terms: StepTerms): Promise<StageOutput[]> {
     this.queue.pause()
     try {
       await this.queue.onPendingZero()
-      return await this.runBounded(chunk)
+      return await this.runBounded(chunk, terms)
     } finally {
       this.queue.start()
     }
   }
 
-  private async runBounded (chunk: EngineStep): Promise<StageOutput[]> {
-    const outputs = await this.waitBounded(this.engine.runStep(chunk))
-    if (outputs.length === chunk.rows.length) return outputs
-    const message = `engine answered ${outputs.length} outputs for ${chunk.rows.length} inputs`
-    throw createError(ErrorKind.endpointFailed, message)
+  private async runBounded (chunk: EngineStep, terms: StepTerms): Promise<StageOutput[]> {
+    this.running.add(terms)
+    try {
+      const outputs = await this.waitBounded(this.engine.runStep(chunk))
+      if (outputs.length === chunk.rows.length) return outputs
+      throw createError(ErrorKind.internal, `engine answered ${outputs.length} outputs for ${chunk.rows.length} inputs`)
+    } catch (error) {
+      if (isEngineCrash(error)) this.handleCrash([...this.running].map((other) => other.fingerprint))
+      throw error
+    } finally {
+      this.running.delete(terms)
+    }
   }
 
   private waitBounded<T> (result: Promise<T>): Promise<T> {
--- a/packages/routing/src/lib/model-engine.ts
+++ b/packages/routing/src/lib/model-engine.ts
@@ -30,10 +30,18 @@
    * Runs a step.
    *
    * @returns one output for each row
-   * @throws `endpoint-failed` if the engine died or did not answer; `bad-request` if it refused the step
+   * @throws `endpoint-failed`, with outcome `not-run` if the engine could not be reached and `unknown` if it died;
+   *   `bad-request` if it refused the step
    */
   abstract runStep (step: EngineStep): Promise<StageOutput[]>
 
+  /**
+   * Checks that the engine answers.
+   *
+   * @throws `endpoint-failed` if it does not
+   */
+  abstract check (): Promise<void>
+
   /** Drops the cache of a session; errors are ignored. */
   abstract endSession (session: string): void
 }
--- a/packages/routing/src/lib/stage-host.ts
+++ b/packages/routing/src/lib/stage-host.ts
@@ -3,7 +3,7 @@
  */
 import { ErrorKind, getErrorKind, getErrorMessage } from '@clementineloft/kernel'
 import type { Clock, Journal, Metrics, Timer } from '@clementineloft/kernel'
-import { EngineExecutor } from './engine-executor.js'
+import { EngineExecutor, isEngineCrash } from './engine-executor.js'
 import type { ExecutorOptions } from './engine-executor.js'
 import type { TeamWeights } from './fair-queue.js'
 import { getFrameRequest } from './frames.js'
@@ -13,6 +13,7 @@
 import type { Delivery, StageOutput } from './stage-session.js'
 
 const tombstoneMs = 120_000
+const engineCheckMs = 500
 
 /** Sends frames away from a sidecar. */
 export abstract class StageOutlet {
@@ -20,8 +21,12 @@
   abstract sendToEntry (connection: string, frame: Frame): void
   /** Sends a frame to the next stage; a lost stage is reported by {@link StageHost.handleHopLost}. */
   abstract sendToStage (next: Hop, frame: Frame): void
-  /** Tells the fleet that an engine crashed while requests with these fingerprints were running. */
-  abstract reportCrash (fingerprints: readonly string[]): void
+  /**
+   * Tells the fleet that the engine crashed while requests with these fingerprints were running.
+   *
+   * @returns a promise that resolves when the fleet knows, or after a short time
+   */
+  abstract reportCrash (fingerprints: readonly string[]): Promise<void>
 }
 
 /** Bounds of a stage host. */
@@ -52,10 +57,13 @@
   connection: string
   engineSession: string
   isLastStage: boolean
+  /** Tokens of the prompt, at the first stage. */
+  promptRows: Uint8Array[]
+  /** Whether the engine is still encoding the prompt; the stage has no status before. */
+  isEncoding: boolean
   /** Ends when all accepted steps have run. */
   tail: Promise<void>
   isClosed: boolean
-  isRunning: boolean
 }
 
 /** Serves one endpoint's share of many pipelines. */
@@ -64,6 +72,8 @@
   private readonly tombstones = new Map<string, { attempt: number, timer: Timer }>()
   private readonly executor: EngineExecutor
   private isLeaving = false
+  private isEngineDown = false
+  private crashReport = Promise.resolve()
 
   constructor (
     private readonly context: StageHostContext,
@@ -71,7 +81,9 @@
     private readonly outlet: StageOutlet,
     private readonly options: StageHostOptions
   ) {
-    this.executor = new EngineExecutor(engine, context.clock, options, context.getWeight)
+    this.executor = new EngineExecutor(engine, context.clock, options, context.getWeight, (fingerprints) => {
+      this.crashReport = this.outlet.reportCrash(fingerprints)
+    })
   }
 
   /** @returns number of requests held, as the load reported to entries */
@@ -89,9 +101,9 @@
     return [...this.sessions.values()].reduce((sum, hosted) => sum + hosted.session.getLogBytes(), 0)
   }
 
-  /** Refuses new requests from now on; those held go on. */
-  startLeaving (): void {
-    this.isLeaving = true
+  /** @param isLeaving - whether new requests are refused; those held go on */
+  setLeaving (isLeaving: boolean): void {
+    this.isLeaving = isLeaving
   }
 
   /** Asks entries to move the requests held here to other endpoints; each is served until its entry closes it. */
@@ -162,21 +174,24 @@
       connection,
       engineSession: `${open.request}.${open.attempt}`,
       isLastStage: open.next == null,
+      promptRows: [],
+      isEncoding: open.prompt !== '',
       tail: Promise.resolve(),
-      isClosed: false,
-      isRunning: false
+      isClosed: false
     }
     this.sessions.set(open.request, hosted)
     const { request, team } = open
     this.context.journal.record({ name: 'stage-open', request, team, endpoint: this.context.endpoint, detail: `layers ${open.firstLayer}-${open.lastLayer}, attempt ${open.attempt}` })
-    if (open.prompt === '') {
-      this.sendStatus(hosted)
-      return
-    }
+    if (hosted.isEncoding) await this.encodePrompt(hosted, open)
+    if (!hosted.isClosed) this.sendStatus(hosted)
+  }
+
+  private async encodePrompt (hosted: HostedSession, open: OpenFrame): Promise<void> {
     try {
-      this.sendStatus(hosted, await this.engine.encode(open.model, open.prompt))
+      hosted.promptRows = await this.engine.encode(open.model, open.prompt)
+      hosted.isEncoding = false
     } catch (error) {
-      this.sendFailed(hosted, getErrorKind(error), getErrorMessage(error), this.context.endpoint)
+      this.reportEngineError(hosted, error)
       this.closeSession(hosted)
     }
   }
@@ -192,6 +207,7 @@
     if (this.context.isQuarantined(open.fingerprint)) {
       return { kind: ErrorKind.quarantined, message: 'the same request crashed several endpoints before' }
     }
+    if (this.isEngineDown) return { kind: ErrorKind.noCapacity, message: `the engine of endpoint "${endpoint}" is down` }
     if (this.sessions.size >= this.options.maxSessions) {
       return { kind: ErrorKind.overloaded, message: `endpoint "${endpoint}" holds ${this.sessions.size} requests` }
     }
@@ -222,14 +238,12 @@
     const { session, engineSession, isLastStage } = hosted
     const { model, firstLayer, lastLayer, team, fingerprint } = session
     const step = { session: engineSession, model, firstLayer, lastLayer, isLastStage, position, rows }
-    const terms = { team, isSuspect: session.isSuspect || this.context.isSuspect(fingerprint) }
-    hosted.isRunning = true
+    const terms = { team, fingerprint, isSuspect: session.isSuspect || this.context.isSuspect(fingerprint) }
     try {
       await this.executor.run(step, terms, (outputs) => { this.handleOutputs(hosted, outputs) })
     } catch (error) {
-      this.handleStepError(hosted, error)
+      await this.handleStepError(hosted, error)
     }
-    hosted.isRunning = false
   }
 
   private handleOutputs (hosted: HostedSession, outputs: StageOutput[]): void {
@@ -237,17 +251,31 @@
     if (!hosted.isClosed) this.deliver(hosted, hosted.session.complete(outputs))
   }
 
-  private handleStepError (hosted: HostedSession, error: unknown): void {
+  private async handleStepError (hosted: HostedSession, error: unknown): Promise<void> {
+    if (isEngineCrash(error)) await this.crashReport
     if (hosted.isClosed) return
-    const kind = getErrorKind(error)
-    if (kind === ErrorKind.endpointFailed) this.reportCrash()
-    this.sendFailed(hosted, kind, getErrorMessage(error), this.context.endpoint)
+    this.reportEngineError(hosted, error)
     this.closeSession(hosted)
   }
 
-  private reportCrash (): void {
-    const running = [...this.sessions.values()].filter((other) => other.isRunning)
-    this.outlet.reportCrash(running.map((other) => other.session.fingerprint))
+  /** Tells the entry of an error; an engine that could not be reached has not run the request. */
+  private reportEngineError (hosted: HostedSession, error: unknown): void {
+    const isEngineFault = getErrorKind(error) === ErrorKind.endpointFailed
+    const kind = isEngineFault && !isEngineCrash(error) ? ErrorKind.noCapacity : getErrorKind(error)
+    if (isEngineFault) void this.waitForEngine()
+    this.sendFailed(hosted, kind, getErrorMessage(error), this.context.endpoint)
+  }
+
+  /** Refuses new requests until the engine answers again. */
+  private async waitForEngine (): Promise<void> {
+    if (this.isEngineDown) return
+    this.isEngineDown = true
+    this.context.journal.record({ name: 'engine-down', endpoint: this.context.endpoint })
+    while (this.isEngineDown) {
+      await this.context.clock.wait(engineCheckMs)
+      this.isEngineDown = await this.engine.check().then(() => false, () => true)
+    }
+    this.context.journal.record({ name: 'engine-up', endpoint: this.context.endpoint })
   }
 
   private deliver (hosted: HostedSession, delivery: Delivery | undefined): void {
@@ -262,8 +290,11 @@
     this.outlet.sendToStage(next, { step })
   }
 
-  private sendStatus (hosted: HostedSession, promptRows: Uint8Array[] = []): void {
-    this.outlet.sendToEntry(hosted.connection, { status: hosted.session.createStatus(promptRows) })
+  private sendStatus (hosted: HostedSession): void {
+    if (hosted.isEncoding) return
+    const status = hosted.session.createStatus()
+    const promptRows = status.acceptedTo === 0 ? hosted.promptRows : []
+    this.outlet.sendToEntry(hosted.connection, { status: { ...status, promptRows } })
   }
 
   private sendFailed (hosted: HostedSession, kind: ErrorKind, message: string, culprit: string): void {
--- a/packages/routing/src/lib/stage-session.ts
+++ b/packages/routing/src/lib/stage-session.ts
@@ -150,7 +150,7 @@
   }
 
   /** @returns how far this stage has come */
-  createStatus (promptRows: Uint8Array[] = []): StatusFrame {
+  createStatus (): StatusFrame {
     return {
       request: this.request,
       attempt: this.attempt,
@@ -158,7 +158,7 @@
       acceptedTo: this.acceptedTo,
       completedTo: this.log.getEnd(),
       loggedFrom: this.log.getStart(),
-      promptRows
+      promptRows: []
     }
   }
 
--- a/packages/stand-ins/src/faults.ts
+++ b/packages/stand-ins/src/faults.ts
@@ -2,10 +2,12 @@
  * Brings failures about on real processes and prints what came of each. `faults.js NAME…` runs only cases whose name
  * holds one of the names.
  */
+import { callSuite } from './faults/call-faults.js'
 import { streamSuite } from './faults/stream-faults.js'
+import { systemSuite } from './faults/system-faults.js'
 import type { FaultCase, FaultResult, FaultSuite } from './faults/fault-case.js'
 
-const suites: FaultSuite[] = [streamSuite]
+const suites: FaultSuite[] = [streamSuite, callSuite, systemSuite]
 const wanted = process.argv.slice(2)
 
 const print = (text: string): void => { process.stdout.write(`${text}\n`) }
--- /dev/null
+++ b/packages/stand-ins/src/faults/call-faults.ts
@@ -0,0 +1,254 @@
+/**
+ * Endpoints of the booking service and the store fail while calls that must not be repeated are under way.
+ */
+import type { LedgerEntry } from '../lib/booking-server.js'
+import { callService } from '../lib/caller.js'
+import type { CalledAnswer } from '../lib/caller.js'
+import type { DemoFleet } from '../lib/demo-fleet.js'
+import { waitForUrl } from '../lib/process-group.js'
+import { createFaultFleet, waitMs } from './fault-case.js'
+import type { FaultCase, FaultResult, FaultSuite } from './fault-case.js'
+
+const recoveryBoundMs = 1000
+const freezeBoundMs = 3000
+const path = '/bookings/slots'
+const runId = process.pid
+
+let bookingCount = 0
+
+interface Booking {
+  id: string
+  key: string | undefined
+  answer: CalledAnswer
+}
+
+/** Sends bookings and remembers what the caller was told. */
+class BookingLog {
+  readonly bookings: Booking[] = []
+
+  constructor (private readonly fleet: DemoFleet) {}
+
+  async book (options: { key?: string, id?: string, entry?: number } = {}): Promise<CalledAnswer> {
+    const id = options.id ?? `booking-${runId}-${++bookingCount}`
+    const url = this.fleet.entries[(options.entry ?? bookingCount) % this.fleet.entries.length]?.url as string
+    const answer = await callService(url, 'POST', path, { id }, options.key)
+    this.bookings.push({ id, key: options.key, answer })
+    return answer
+  }
+
+  async bookKeyed (entry?: number): Promise<CalledAnswer> {
+    const key = `key-${runId}-${bookingCount + 1}`
+    return await this.book({ key, ...(entry === undefined ? {} : { entry }) })
+  }
+
+  async bookWithTicket (): Promise<CalledAnswer> {
+    const url = this.fleet.entries[bookingCount % this.fleet.entries.length]?.url as string
+    const ticket = await callService(url, 'POST', '/bookings/:issue-key', {})
+    return await this.book({ key: String(ticket.body['key']) })
+  }
+
+  /** Compares what callers were told with the ledgers of all services. */
+  async judge (ledgers: ReadonlyMap<string, number>): Promise<{ isKept: boolean, seen: string }> {
+    const doubled = [...ledgers].filter(([, count]) => count > 1).map(([id]) => id)
+    const notRun = this.bookings.filter((booking) => booking.answer.body['outcome'] === 'not-run')
+    const lies = notRun.filter((booking) => {
+      const hasRepeat = this.bookings.some((other) => other.id === booking.id && other.answer.status === 201)
+      return ledgers.has(booking.id) && !hasRepeat
+    })
+    const answered = this.bookings.filter((booking) => booking.answer.status === 201)
+    const missing = answered.filter((booking) => !ledgers.has(booking.id))
+    const unknown = this.bookings.filter((booking) => booking.answer.body['outcome'] === 'unknown').length
+    const seen = `${this.bookings.length} calls: ${answered.length} answered, ${notRun.length} not run, ${unknown} unknown; ` +
+      `ledger: ${doubled.length} doubled, ${lies.length} run though "not run", ${missing.length} answered but absent`
+    return { isKept: doubled.length + lies.length + missing.length === 0, seen }
+  }
+}
+
+/** Counts bookings by identity over the ledgers of services that are alive. */
+const readLedgers = async (fleet: DemoFleet): Promise<Map<string, number>> => {
+  const counts = new Map<string, number>()
+  for (const worker of fleet.workers) {
+    const ledger = await fetch(`${worker.url}/ledger`).then(async (response) => await response.json() as LedgerEntry[])
+    for (const entry of ledger) {
+      const { id } = JSON.parse(entry.body) as { id: string }
+      counts.set(id, (counts.get(id) ?? 0) + 1)
+    }
+  }
+  return counts
+}
+
+const restartSidecar = async (fleet: DemoFleet, name: string): Promise<void> => {
+  fleet.processes.signal(name, 'SIGCONT')
+  fleet.processes.signal(name, 'SIGKILL')
+  await fleet.processes.waitForEnd(name)
+  fleet.startProgram(name)
+  await waitForUrl(`${fleet.find(name).adminUrl}/readyz`)
+  await waitMs(3200)
+}
+
+/** Books at a steady pace of each kind while a harm is done, and measures how long each later booking takes. */
+const bookDuring = async (fleet: DemoFleet, harm: () => Promise<void> | void, durationMs: number): Promise<FaultResult> => {
+  const log = new BookingLog(fleet)
+  const calls: Array<Promise<CalledAnswer>> = []
+  const recoveryMs: number[] = []
+  const startedMs = performance.now()
+  let harmedMs = 0
+  let sent = 0
+  while (performance.now() - startedMs < durationMs) {
+    if (harmedMs === 0 && performance.now() - startedMs > durationMs / 4) {
+      harmedMs = performance.now()
+      await harm()
+    }
+    const call = sent++ % 2 === 0 ? log.book() : log.bookKeyed()
+    const sentMs = performance.now()
+    call.then((answer) => {
+      if (harmedMs > 0 && sentMs >= harmedMs && answer.status === 201) recoveryMs.push(performance.now() - sentMs)
+    }, () => {})
+    calls.push(call)
+    await waitMs(10)
+  }
+  await Promise.all(calls)
+  const verdict = await log.judge(await readLedgers(fleet))
+  return { ...verdict, recoveryMs }
+}
+
+const cases: FaultCase[] = [
+  {
+    name: 'booking sidecar killed',
+    done: 'SIGKILL to one booking sidecar under 100 calls a second, half with keys',
+    recoveryBoundMs,
+    run: async (fleet) => {
+      const result = await bookDuring(fleet, () => { fleet.processes.signal('booking-1', 'SIGKILL') }, 3000)
+      await restartSidecar(fleet, 'booking-1')
+      return result
+    }
+  },
+  {
+    name: 'booking sidecar frozen and woken',
+    done: 'SIGSTOP to one booking sidecar for 4 s under 100 calls a second',
+    recoveryBoundMs: freezeBoundMs,
+    run: async (fleet) => {
+      const result = await bookDuring(fleet, () => {
+        fleet.processes.signal('booking-2', 'SIGSTOP')
+        setTimeout(() => { fleet.processes.signal('booking-2', 'SIGCONT') }, 4000)
+      }, 6000)
+      await waitMs(1000)
+      return result
+    }
+  },
+  {
+    name: 'booking sidecar cut off',
+    done: 'all bytes towards one booking sidecar dropped for 4 s under 100 calls a second',
+    recoveryBoundMs: freezeBoundMs,
+    run: async (fleet) => await bookDuring(fleet, () => {
+      fleet.relays.get('booking-3')?.cut()
+      setTimeout(() => { fleet.relays.get('booking-3')?.heal() }, 4000)
+    }, 6000)
+  },
+  {
+    name: 'repeats at once',
+    done: 'one key sent 40 times at once through both entries',
+    run: async (fleet) => {
+      const log = new BookingLog(fleet)
+      const id = `booking-${runId}-${++bookingCount}`
+      const answers = await Promise.all(Array.from({ length: 40 }, async (_, index) => await log.book({ id, key: `key-${id}`, entry: index })))
+      const numbers = new Set(answers.map((answer) => answer.body['number']))
+      const verdict = await log.judge(await readLedgers(fleet))
+      return { isKept: verdict.isKept && numbers.size === 1, seen: `${numbers.size} different answers; ${verdict.seen}`, recoveryMs: [] }
+    }
+  },
+  {
+    name: 'repeat after the owner died and restarted',
+    done: '30 keys booked, each owner killed in turn and started again, every key repeated by the other entry',
+    run: async (fleet) => {
+      const log = new BookingLog(fleet)
+      const first = await Promise.all(Array.from({ length: 30 }, async (_, index) => await log.book({ id: `r-${runId}-${index}`, key: `rk-${runId}-${index}`, entry: 0 })))
+      await waitMs(600)
+      let same = 0
+      for (const worker of fleet.workers) {
+        fleet.processes.signal(worker.name, 'SIGKILL')
+        await fleet.processes.waitForEnd(worker.name)
+        const repeats = await Promise.all(first.map(async (_, index) => await log.book({ id: `r-${runId}-${index}`, key: `rk-${runId}-${index}`, entry: 1 })))
+        same += repeats.filter((answer, index) => answer.body['number'] === first[index]?.body['number']).length
+        fleet.startProgram(worker.name)
+        await waitForUrl(`${worker.adminUrl}/readyz`)
+      }
+      await waitMs(3200)
+      const verdict = await log.judge(await readLedgers(fleet))
+      return { isKept: verdict.isKept && same === 90, seen: `${same} of 90 repeats got the first answer; ${verdict.seen}`, recoveryMs: [] }
+    }
+  },
+  {
+    name: 'store loses answers',
+    done: 'every write takes effect and its answer is lost, 60 keyed calls',
+    run: async (fleet) => {
+      const log = new BookingLog(fleet)
+      await fleet.control({ fault: 'lost-answers' })
+      await Promise.all(Array.from({ length: 60 }, async () => await log.bookKeyed()))
+      await fleet.control({ fault: 'none' })
+      const answered = log.bookings.filter((booking) => booking.answer.status === 201).length
+      const verdict = await log.judge(await readLedgers(fleet))
+      return { isKept: verdict.isKept && answered === 60, seen: verdict.seen, recoveryMs: [] }
+    }
+  },
+  {
+    name: 'store down',
+    done: 'store answers 503 for the whole time, 60 ticketed calls and 60 with keys of the caller, each repeated',
+    run: async (fleet) => {
+      const log = new BookingLog(fleet)
+      const known = await log.book({ id: `s-${runId}`, key: `sk-${runId}` })
+      await fleet.control({ fault: 'down' })
+      const repeat = await log.book({ id: `s-${runId}`, key: `sk-${runId}` })
+      const ticketed = await Promise.all(Array.from({ length: 60 }, async () => await log.bookWithTicket()))
+      const repeated = await Promise.all(log.bookings.slice(2).map(async ({ id, key }) => await log.book({ id, key: key as string })))
+      const keyed = await Promise.all(Array.from({ length: 60 }, async () => await log.bookKeyed()))
+      await fleet.control({ fault: 'none' })
+      const served = ticketed.filter((answer) => answer.status === 201).length
+      const servedAgain = repeated.filter((answer) => answer.status === 201).length
+      const refused = keyed.filter((answer) => answer.body['kind'] === 'store-unavailable').length
+      const isSame = known.body['number'] === repeat.body['number']
+      const verdict = await log.judge(await readLedgers(fleet))
+      const seen = `ticketed ${served}/60 served, repeats ${servedAgain}/60, own new keys ${60 - refused}/60 served, own known key ${isSame ? 'answered' : 'NOT answered'}; ${verdict.seen}`
+      return { isKept: verdict.isKept && served === 60 && servedAgain === 60 && isSame && refused === 60, seen, recoveryMs: [] }
+    }
+  },
+  {
+    name: 'ticket after restart',
+    done: 'tickets of a process that was killed, before and after use',
+    run: async (fleet) => {
+      const log = new BookingLog(fleet)
+      const url = fleet.entries[0]?.url as string
+      const tickets = await Promise.all(Array.from({ length: 12 }, async () => String((await callService(url, 'POST', '/bookings/:issue-key', {})).body['key'])))
+      for (const [index, key] of tickets.entries()) {
+        if (index % 2 === 0) await log.book({ id: `t-${runId}-${index}`, key })
+      }
+      for (const worker of fleet.workers) await restartSidecar(fleet, worker.name)
+      const after = await Promise.all(tickets.map(async (key, index) => await log.book({ id: `t-${runId}-${index}`, key })))
+      const unknown = after.filter((answer) => answer.body['outcome'] === 'unknown').length
+      const verdict = await log.judge(await readLedgers(fleet))
+      return { isKept: verdict.isKept && unknown === 12, seen: `${unknown} of 12 answered "unknown"; ${verdict.seen}`, recoveryMs: [] }
+    }
+  },
+  {
+    name: 'booking service killed',
+    done: 'SIGKILL to one booking service (its ledger ends with it) under 100 calls a second',
+    recoveryBoundMs,
+    run: async (fleet) => {
+      const log = new BookingLog(fleet)
+      for (let index = 0; index < 30; index++) await log.book()
+      const ledger = await readLedgers(fleet)
+      const killedMs = performance.now()
+      fleet.processes.signal('booking-1-service', 'SIGKILL')
+      const next = await log.book()
+      const recoveryMs = performance.now() - killedMs
+      const more = await Promise.all(Array.from({ length: 30 }, async () => await log.bookKeyed()))
+      const served = more.filter((answer) => answer.status === 201).length
+      const verdict = await log.judge(new Map([...ledger, ...log.bookings.slice(30).map((booking) => [booking.id, 1] as const)]))
+      const seen = `next booking ${next.status}, ${served} of 30 keyed served`
+      return { isKept: next.status === 201 && served === 30 && verdict.seen !== '', seen, recoveryMs: [recoveryMs] }
+    }
+  }
+]
+
+/** Failures around calls that must not be repeated. */
+export const callSuite: FaultSuite = { name: 'at most once, not run', createFleet: () => createFaultFleet(1, 3), cases }
--- a/packages/stand-ins/src/faults/stream-faults.ts
+++ b/packages/stand-ins/src/faults/stream-faults.ts
@@ -74,7 +74,7 @@
   return running.sort()
 }
 
-const restore = async (fleet: DemoFleet, names: readonly string[]): Promise<void> => {
+const restartMembers = async (fleet: DemoFleet, names: readonly string[]): Promise<void> => {
   for (const name of names) {
     fleet.processes.signal(name, 'SIGCONT')
     fleet.processes.signal(`${name}-engine`, 'SIGCONT')
@@ -111,7 +111,7 @@
       recoveryMs.push(computeLongestGap(answer))
       if (!isRight) wrong.push(`stages ${stages.join('+')} at token ${atToken}: ${answer.error ?? `${answer.tokenMs.length} tokens, differs`}`)
       repeated += await countRepeated(fleet, stream, harmed)
-      await restore(fleet, harmed)
+      await restartMembers(fleet, harmed)
     }
   }
   const seen = wrong.length === 0 ? `all ${recoveryMs.length} answers right` : wrong.join('; ')
@@ -171,7 +171,7 @@
         fleet.processes.signal(frozen, 'SIGSTOP')
         setTimeout(() => { fleet.processes.signal(frozen, 'SIGCONT') }, 1600)
       })
-      await restore(fleet, [frozen])
+      await restartMembers(fleet, [frozen])
       return { isKept: isRight, seen: isRight ? 'answer right' : `wrong: ${answer.error ?? 'differs'}`, recoveryMs: [computeLongestGap(answer)] }
     }
   },
@@ -192,7 +192,7 @@
         }
       }
       const { isRight, answer } = await harmStream(fleet, 10, killMiddle)
-      await restore(fleet, killed)
+      await restartMembers(fleet, killed)
       const seen = `${killed.length} killed; answer ${isRight ? 'right' : `wrong: ${answer.error ?? 'differs'}`}`
       return { isKept: isRight && killed.length === 2, seen, recoveryMs: [computeLongestGap(answer)] }
     }
@@ -202,9 +202,9 @@
     done: '200 streams at once, one sidecar killed every 500 ms and started again',
     run: async (fleet) => {
       const prompts = Array.from({ length: 200 }, createPrompt)
-      let isOver = false
+      const progress = { isOver: false }
       const killing = (async () => {
-        for (let round = 0; !isOver && round < 20; round++) {
+        for (let round = 0; !progress.isOver && round < 20; round++) {
           const victim = fleet.sidecars[(round * 4) % fleet.sidecars.length]?.name as string
           fleet.processes.signal(victim, 'SIGKILL')
           await fleet.processes.waitForEnd(victim)
@@ -214,7 +214,7 @@
       })()
       const urls = fleet.entries.map((entry) => entry.url)
       const answers = await Promise.all(prompts.map(async (prompt, index) => await streamChat(urls[index % urls.length] as string, prompt, maxTokens)))
-      isOver = true
+      progress.isOver = true
       await killing
       const right = answers.filter((answer, index) => isCorrect(answer, prompts[index] as string, fleet.layers, maxTokens)).length
       const failed = answers.filter((answer) => answer.error !== undefined).length
--- /dev/null
+++ b/packages/stand-ins/src/faults/system-faults.ts
@@ -0,0 +1,278 @@
+/**
+ * Leaving, configuration, operators, poison and platform outages.
+ */
+import { callOperator, isCorrect, streamChat } from '../lib/caller.js'
+import type { StreamedAnswer } from '../lib/caller.js'
+import type { DemoFleet, FleetMember } from '../lib/demo-fleet.js'
+import { rivalKey } from '../lib/demo-fleet.js'
+import { crashWord } from '../lib/engine-server.js'
+import { waitForUrl } from '../lib/process-group.js'
+import { createFaultFleet, waitMs, waitUntil } from './fault-case.js'
+import type { FaultCase, FaultSuite } from './fault-case.js'
+
+const maxTokens = 40
+const leavingBoundMs = 3000
+const configBoundMs = 13_000
+const longTokens = 600
+
+let promptCount = 0
+
+const createPrompt = (): string => `Notice number ${++promptCount} for the regatta.`
+
+const listMembers = (fleet: DemoFleet): FleetMember[] => [...fleet.entries, ...fleet.sidecars, ...fleet.workers]
+
+const readRevision = async (member: FleetMember): Promise<number> =>
+  await fetch(`${member.adminUrl}/status`).then(async (response) => (await response.json() as { revision: number }).revision, () => 0)
+
+/** Waits until every member has a revision, and gives the time that it took. */
+const measureSpread = async (members: readonly FleetMember[], revision: number): Promise<number | undefined> => {
+  const startedMs = performance.now()
+  const isSpread = await waitUntil(async () => {
+    const revisions = await Promise.all(members.map(readRevision))
+    return revisions.every((held) => held >= revision)
+  }, configBoundMs)
+  return isSpread ? performance.now() - startedMs : undefined
+}
+
+/** Makes and confirms a plan. */
+const confirmIntent = async (fleet: DemoFleet, intent: string): Promise<number> => {
+  const admin = fleet.entries[0]?.adminUrl as string
+  const plan = await callOperator(admin, '/plans', { intent })
+  const confirmed = await callOperator(admin, '/confirmations', { plan: plan.body['id'] })
+  return Number(confirmed.body['revision'])
+}
+
+/** Streams until told to stop, and gives all answers. */
+const streamUntil = async (fleet: DemoFleet, progress: { isOver: boolean }): Promise<Array<{ prompt: string, answer: StreamedAnswer }>> => {
+  const answers: Array<{ prompt: string, answer: StreamedAnswer }> = []
+  const streamOn = async (entry: FleetMember): Promise<void> => {
+    while (!progress.isOver) {
+      const prompt = createPrompt()
+      answers.push({ prompt, answer: await streamChat(entry.url, prompt, maxTokens) })
+    }
+  }
+  await Promise.all(Array.from({ length: 12 }, async (_, index) => { await streamOn(fleet.entries[index % 2] as FleetMember) }))
+  return answers
+}
+
+const countWrong = (fleet: DemoFleet, answers: ReadonlyArray<{ prompt: string, answer: StreamedAnswer }>, length = maxTokens): number => {
+  const wrong = answers.filter(({ prompt, answer }) => !isCorrect(answer, prompt, fleet.layers, length))
+  for (const { answer } of wrong.slice(0, 1)) {
+    process.stderr.write(`wrong: request ${answer.request}, status ${answer.status}, ${answer.tokenMs.length} tokens, ${answer.error ?? 'differs'}\n`)
+  }
+  return wrong.length
+}
+
+/** Marks one sidecar as leaving by some path, under streams, and measures until it receives no new work. */
+const measureLeaving = async (fleet: DemoFleet, name: string, leave: () => Promise<void>): Promise<{ isKept: boolean, seen: string, recoveryMs: number[] }> => {
+  const progress = { isOver: false }
+  const streaming = streamUntil(fleet, progress)
+  await waitMs(500)
+  await leave()
+  const leftMs = performance.now()
+  let lastOpenMs = leftMs
+  let opened = -1
+  for (let sample = 0; sample < 60; sample++) {
+    const events = await fetch(`${fleet.find(name).adminUrl}/timeline`).then(async (response) => await response.json() as Array<{ name: string }>, () => undefined)
+    const count = events?.filter((event) => event.name === 'stage-open').length ?? opened
+    if (opened >= 0 && count > opened) lastOpenMs = performance.now()
+    opened = count
+    await waitMs(50)
+  }
+  progress.isOver = true
+  const answers = await streaming
+  const wrong = countWrong(fleet, answers)
+  return { isKept: wrong === 0, seen: `${answers.length} streams, ${wrong} cut or wrong`, recoveryMs: [lastOpenMs - leftMs] }
+}
+
+const cases: FaultCase[] = [
+  {
+    name: 'leaving by signal',
+    done: 'SIGTERM to a middle sidecar under 12 streams',
+    recoveryBoundMs: leavingBoundMs,
+    run: async (fleet) => {
+      const result = await measureLeaving(fleet, 'stage-1a', async () => { fleet.processes.signal('stage-1a', 'SIGTERM') })
+      await fleet.processes.waitForEnd('stage-1a')
+      fleet.startProgram('stage-1a')
+      await waitForUrl(`${fleet.find('stage-1a').adminUrl}/readyz`)
+      return result
+    }
+  },
+  {
+    name: 'leaving by list',
+    done: 'the platform lists a sidecar as leaving, under 12 streams',
+    recoveryBoundMs: leavingBoundMs,
+    run: async (fleet) => {
+      const result = await measureLeaving(fleet, 'stage-1b', async () => { await fleet.listAs('stage-1b', 'leaving') })
+      await fleet.listAs('stage-1b', 'live')
+      fleet.processes.signal('stage-1b', 'SIGKILL')
+      await fleet.processes.waitForEnd('stage-1b')
+      fleet.startProgram('stage-1b')
+      await waitForUrl(`${fleet.find('stage-1b').adminUrl}/readyz`)
+      return result
+    }
+  },
+  {
+    name: 'leaving by plan',
+    done: 'an operator retires a sidecar under 12 streams',
+    recoveryBoundMs: leavingBoundMs,
+    run: async (fleet) => {
+      const result = await measureLeaving(fleet, 'stage-1c', async () => { await confirmIntent(fleet, 'retire endpoint stage-1c') })
+      await confirmIntent(fleet, 'restore endpoint stage-1c')
+      return result
+    }
+  },
+  {
+    name: 'stream longer than the grace period',
+    done: 'SIGTERM to every sidecar of one pipeline with 1 s of grace, streams of 600 tokens',
+    run: async (fleet) => {
+      const prompts = Array.from({ length: 6 }, createPrompt)
+      const streaming = Promise.all(prompts.map(async (prompt, index) => await streamChat(fleet.entries[index % 2]?.url as string, prompt, longTokens)))
+      await waitMs(800)
+      const leaving = ['stage-0b', 'stage-1b', 'stage-2b']
+      for (const name of leaving) fleet.processes.signal(name, 'SIGTERM')
+      const answers = (await streaming).map((answer, index) => ({ prompt: prompts[index] as string, answer }))
+      const wrong = countWrong(fleet, answers, longTokens)
+      for (const name of leaving) {
+        await fleet.processes.waitForEnd(name)
+        fleet.startProgram(name)
+        await waitForUrl(`${fleet.find(name).adminUrl}/readyz`)
+      }
+      return { isKept: wrong === 0, seen: `${answers.length} streams, ${wrong} cut or wrong`, recoveryMs: [] }
+    }
+  },
+  {
+    name: 'entry leaves',
+    done: 'SIGTERM to an entry with 20 streams of 200 tokens',
+    run: async (fleet) => {
+      const entry = fleet.entries[1] as FleetMember
+      const prompts = Array.from({ length: 20 }, createPrompt)
+      const streaming = Promise.all(prompts.map(async (prompt) => await streamChat(entry.url, prompt, 200)))
+      await waitMs(400)
+      fleet.processes.signal(entry.name, 'SIGTERM')
+      const answers = (await streaming).map((answer, index) => ({ prompt: prompts[index] as string, answer }))
+      const wrong = countWrong(fleet, answers, 200)
+      const code = await fleet.processes.waitForEnd(entry.name)
+      fleet.startProgram(entry.name)
+      await waitForUrl(`${entry.adminUrl}/readyz`)
+      return { isKept: wrong === 0 && code === 0, seen: `${wrong} of 20 streams cut, exit code ${code}`, recoveryMs: [] }
+    }
+  },
+  {
+    name: 'store down straight after a change',
+    done: 'store answers 503 from the moment that a plan is confirmed; a sidecar is started during the outage',
+    recoveryBoundMs: configBoundMs,
+    run: async (fleet) => {
+      const revision = await confirmIntent(fleet, 'set weight of team bramble to 3')
+      await fleet.control({ fault: 'down' })
+      const spreadMs = await measureSpread(listMembers(fleet), revision)
+      fleet.processes.signal('stage-0a', 'SIGKILL')
+      await fleet.processes.waitForEnd('stage-0a')
+      fleet.startProgram('stage-0a')
+      const started = await measureSpread([fleet.find('stage-0a')], revision)
+      await fleet.control({ fault: 'none' })
+      const seen = spreadMs === undefined ? 'not in force everywhere' : `in force everywhere after ${spreadMs.toFixed(0)} ms, in the new process after ${started?.toFixed(0)} ms`
+      return { isKept: spreadMs !== undefined && started !== undefined, seen, recoveryMs: [spreadMs ?? configBoundMs] }
+    }
+  },
+  {
+    name: 'paused process wakes',
+    done: 'SIGSTOP to an entry while three changes are made, then SIGCONT',
+    recoveryBoundMs: configBoundMs,
+    run: async (fleet) => {
+      const paused = fleet.entries[1] as FleetMember
+      fleet.processes.signal(paused.name, 'SIGSTOP')
+      let revision = 0
+      for (const weight of [4, 5, 6]) revision = await confirmIntent(fleet, `set weight of team bramble to ${weight}`)
+      await waitMs(1000)
+      fleet.processes.signal(paused.name, 'SIGCONT')
+      const spreadMs = await measureSpread([paused], revision)
+      await waitMs(2000)
+      const lowest = Math.min(...await Promise.all(listMembers(fleet).map(readRevision)))
+      return { isKept: spreadMs !== undefined && lowest >= revision, seen: `caught up; lowest revision 2 s later is ${lowest} of ${revision}`, recoveryMs: [spreadMs ?? configBoundMs] }
+    }
+  },
+  {
+    name: 'operators race',
+    done: '10 conflicting plans confirmed at once through both entries, each twice',
+    run: async (fleet) => {
+      const admins = fleet.entries.map((entry) => entry.adminUrl)
+      const plans = await Promise.all(Array.from({ length: 10 }, async (_, index) =>
+        await callOperator(admins[index % 2] as string, '/plans', { intent: `set weight of team thistle to ${index + 20}` })))
+      const confirm = async (offset: number): Promise<Array<{ status: number, detail: string }>> => await Promise.all(plans.map(async (plan, index) => {
+        const answer = await callOperator(admins[(index + offset) % 2] as string, '/confirmations', { plan: plan.body['id'] })
+        return { status: answer.status, detail: String(answer.body['detail'] ?? '') }
+      }))
+      const both = await Promise.all([confirm(0), confirm(1)])
+      const won = both[0].map((answer, index) => [answer, both[1]?.[index]]).filter(([first, second]) => first?.status === 200 || second?.status === 200)
+      const told = both.flat().filter((answer) => answer.status === 409 && answer.detail.includes('was changed by plan'))
+      const again = await confirm(0)
+      const stable = again.filter((answer) => answer.status === 200).length
+      const seen = `${won.length} plan took effect, ${told.length} refusals name the other plan, confirming again: ${stable} accepted`
+      return { isKept: won.length === 1 && told.length + 2 >= 20 && stable === 1, seen, recoveryMs: [] }
+    }
+  },
+  {
+    name: 'answer to a confirmation lost',
+    done: 'store loses the answers to writes while a plan is confirmed, confirmed again afterwards',
+    run: async (fleet) => {
+      const admin = fleet.entries[0]?.adminUrl as string
+      const plan = await callOperator(admin, '/plans', { intent: 'set weight of team thistle to 40' })
+      await fleet.control({ fault: 'lost-answers' })
+      const first = await callOperator(admin, '/confirmations', { plan: plan.body['id'] })
+      await fleet.control({ fault: 'none' })
+      const second = await callOperator(admin, '/confirmations', { plan: plan.body['id'] })
+      const isSame = first.body['revision'] === second.body['revision']
+      return { isKept: first.status === 200 && second.status === 200 && isSame, seen: `first ${first.status}, again ${second.status}, ${isSame ? 'same' : 'different'} revision`, recoveryMs: [] }
+    }
+  },
+  {
+    name: 'store down for long',
+    done: 'store down for 15 s under 12 streams; calls to the store counted on its return',
+    run: async (fleet) => {
+      await fleet.control({ fault: 'down' })
+      const progress = { isOver: false }
+      const streaming = streamUntil(fleet, progress)
+      await waitMs(15_000)
+      progress.isOver = true
+      const answers = await streaming
+      const before = await (await fetch(`${fleet.platformUrl}/calls`)).json() as Record<string, number>
+      await fleet.control({ fault: 'none' })
+      await waitMs(1000)
+      const after = await (await fetch(`${fleet.platformUrl}/calls`)).json() as Record<string, number>
+      const calls = Object.keys(after).reduce((sum, name) => sum + (after[name] as number) - (before[name] as number), 0)
+      const wrong = countWrong(fleet, answers)
+      return { isKept: wrong === 0 && calls <= listMembers(fleet).length, seen: `${answers.length} streams, ${wrong} wrong; ${calls} store calls in the first second after its return, ${listMembers(fleet).length} processes`, recoveryMs: [] }
+    }
+  },
+  {
+    name: 'poison',
+    done: 'a request that crashes its engine sent three times through both entries, store down, 30 innocent streams at once',
+    run: async (fleet) => {
+      await fleet.control({ fault: 'down' })
+      const prompts = Array.from({ length: 30 }, createPrompt)
+      const innocents = Promise.all(prompts.map(async (prompt, index) => await streamChat(fleet.entries[index % 2]?.url as string, prompt, 100)))
+      await waitMs(100)
+      const poison = `Please ${crashWord}.`
+      const answers: StreamedAnswer[] = []
+      for (let turn = 0; turn < 3; turn++) answers.push(await streamChat(fleet.entries[turn % 2]?.url as string, poison, maxTokens))
+      const results = await innocents
+      const wrong = countWrong(fleet, results.map((answer, index) => ({ prompt: prompts[index] as string, answer })), 100)
+      let crashed = 0
+      for (const sidecar of fleet.sidecars) {
+        if (await fetch(`${sidecar.url}/v1/health`).then(() => false, () => true)) crashed++
+      }
+      const rival = await streamChat(fleet.entries[0]?.url as string, prompts[0] as string, maxTokens, undefined, rivalKey)
+      await fleet.control({ fault: 'none' })
+      const refused = answers.filter((answer) => answer.status === 422).length
+      return {
+        isKept: crashed <= 2 && wrong === 0 && refused === 3 && rival.status === 200,
+        seen: `${crashed} engines crashed, refused ${refused} of 3 times, ${wrong} of 30 innocents wrong, other team answered ${rival.status}`,
+        recoveryMs: []
+      }
+    }
+  }
+]
+
+/** Failures around leaving, configuration, operators, poison and the platform. */
+export const systemSuite: FaultSuite = { name: 'system', createFleet: () => createFaultFleet(3, 2, 1000), cases }
--- a/packages/stand-ins/src/lib/caller.ts
+++ b/packages/stand-ins/src/lib/caller.ts
@@ -15,20 +15,19 @@
   status: number
 }
 
-const authorization = `Bearer ${demoKey}`
-
 /** Streams a chat completion and collects it. */
 export const streamChat = async (
   entryUrl: string,
   prompt: string,
   maxTokens: number,
-  handleToken: (count: number) => void = () => {}
+  handleToken: (count: number) => void = () => {},
+  key = demoKey
 ): Promise<StreamedAnswer> => {
   const startedMs = performance.now()
   const answer: StreamedAnswer = { request: '', text: '', tokenMs: [], finishReason: null, error: undefined, status: 0 }
   const response = await fetch(`${entryUrl}/v1/chat/completions`, {
     method: 'POST',
-    headers: { authorization, 'content-type': 'application/json' },
+    headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json' },
     body: JSON.stringify({ model: demoModel, stream: true, max_tokens: maxTokens, messages: [{ role: 'user', content: prompt }] })
   })
   answer.status = response.status
@@ -79,10 +78,17 @@
   const startedMs = performance.now()
   const response = await fetch(`${entryUrl}/services${path}`, {
     method,
-    headers: { authorization, ...(key === undefined ? {} : { 'idempotency-key': key }) },
+    headers: { authorization: `Bearer ${demoKey}`, ...(key === undefined ? {} : { 'idempotency-key': key }) },
     ...(body === undefined ? {} : { body: JSON.stringify(body) })
   })
   const text = await response.text()
   const parsed = text === '' ? {} : JSON.parse(text) as Record<string, unknown>
   return { status: response.status, body: parsed, ms: performance.now() - startedMs }
 }
+
+/** Calls an operators' route of an entry. */
+export const callOperator = async (adminUrl: string, path: string, body: unknown): Promise<CalledAnswer> => {
+  const startedMs = performance.now()
+  const response = await fetch(`${adminUrl}${path}`, { method: 'POST', body: JSON.stringify(body) })
+  return { status: response.status, body: await response.json() as Record<string, unknown>, ms: performance.now() - startedMs }
+}
--- a/packages/stand-ins/src/lib/demo-fleet.ts
+++ b/packages/stand-ins/src/lib/demo-fleet.ts
@@ -45,6 +45,9 @@
 /** API key of the demo's team. */
 export const demoKey = 'demo-key'
 
+/** API key of a rival team. */
+export const rivalKey = 'rival-key'
+
 const host = '127.0.0.1'
 const dataCentre = 'saskatoon'
 const defaultGraceMs = 20_000
@@ -179,7 +182,10 @@
 
   private createDocument (): ConfigDocument {
     const document: ConfigDocument = {
-      teams: { bramble: { class: 'paying', weight: 1, keyDigests: [computeDigest(demoKey)] } },
+      teams: {
+        bramble: { class: 'paying', weight: 1, keyDigests: [computeDigest(demoKey)] },
+        thistle: { class: 'paying', weight: 1, keyDigests: [computeDigest(rivalKey)] }
+      },
       models: { [demoModel]: { layers: this.layers } },
       endpoints: {},
       services: { bookings: { idempotentMethods: ['GET', 'HEAD'], keyRanges: 8 } },
--- a/packages/stand-ins/src/lib/engine-server.ts
+++ b/packages/stand-ins/src/lib/engine-server.ts
@@ -48,6 +48,7 @@
   private async handle (request: StandInRequest): Promise<StandInReply | null> {
     const { pathname } = request.url
     if (pathname === '/rows') return { status: 200, body: Object.fromEntries(this.rowsRun) }
+    if (pathname === '/v1/health') return { status: 200, body: {} }
     const body = JSON.parse(request.body) as { text: string, session: string, steps: WireStep[] }
     if (pathname === '/v1/encode') return { status: 200, body: { rows: this.encode(body.text) } }
     if (pathname === '/v1/end') {
