--- a/packages/stand-ins/src/lib/memory-store.ts
+++ b/packages/coordination/src/lib/memory-store.ts
@@ -1,9 +1,9 @@
 /**
- * An object store in memory, with the outages and lost answers of the real one.
+ * An object store in memory, for tests and examples, with the outages and lost answers of a real one.
  */
-import { absentVersion, ObjectStore } from '@clementineloft/coordination'
-import type { StoredObject } from '@clementineloft/coordination'
 import { createError, ErrorKind, Outcome } from '@clementineloft/kernel'
+import { absentVersion, ObjectStore } from './object-store.js'
+import type { StoredObject } from './object-store.js'
 
 /** What is wrong with a store at the moment. */
 export const StoreFault = {
--- /dev/null
+++ b/packages/coordination/src/test/claim-range_test.ts
@@ -0,0 +1,96 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { ClaimRange, MemoryStore, StoreFault } from '@clementineloft/coordination'
+import { ErrorKind, getErrorKind, getErrorOutcome, ManualClock, Outcome } from '@clementineloft/kernel'
+
+const createRange = (store: MemoryStore, clock: ManualClock, incarnation: string, retentionMs = 60_000): ClaimRange<string> =>
+  new ClaimRange(store, 'claims/bookings/0', clock, { holder: `at-${incarnation}`, incarnation, retentionMs, writeIntervalMs: 0 })
+
+test('a successor does not grant a key that the former owner claimed', async () => {
+  const store = new MemoryStore()
+  const clock = new ManualClock()
+  const [first, second] = [createRange(store, clock, 'a'), createRange(store, clock, 'b')]
+  assert.equal((await first.claim('k', 'f')).isGranted, true)
+  const repeat = await second.claim('k', 'f')
+  assert.equal(repeat.isGranted, false)
+  assert.equal(repeat.entry.incarnation, 'a')
+})
+
+test('an owner that was paused during a takeover grants no key that its successor granted', async () => {
+  const store = new MemoryStore()
+  const clock = new ManualClock()
+  const [paused, successor] = [createRange(store, clock, 'a'), createRange(store, clock, 'b')]
+  await paused.claim('other', 'f')
+  assert.equal((await successor.claim('k', 'f')).isGranted, true)
+  assert.equal((await paused.claim('k', 'f')).isGranted, false)
+})
+
+test('the same key claimed many times at once is granted once, with one write', async () => {
+  const store = new MemoryStore()
+  const range = createRange(store, new ManualClock(), 'a')
+  await range.claim('first', 'f')
+  const writes = store.calls.put
+  const results = await Promise.all(Array.from({ length: 50 }, async () => await range.claim('k', 'f')))
+  assert.equal(results.filter((result) => result.isGranted).length, 1)
+  assert.equal(store.calls.put - writes, 1)
+})
+
+test('a claim whose write was not answered is read back and granted', async () => {
+  const store = new MemoryStore()
+  const clock = new ManualClock()
+  store.fault = StoreFault.lostAnswers
+  const claim = createRange(store, clock, 'a').claim('k', 'f')
+  await clock.advanceGradually(5000, 100)
+  assert.equal((await claim).isGranted, true)
+})
+
+test('while the store is down a claim is refused as not run, and granted after its return', async () => {
+  const store = new MemoryStore()
+  const clock = new ManualClock()
+  const range = createRange(store, clock, 'a')
+  await range.claim('first', 'f')
+  store.fault = StoreFault.down
+  const error: unknown = await range.claim('k', 'f').catch((thrown: unknown) => thrown)
+  assert.equal(getErrorKind(error), ErrorKind.storeUnavailable)
+  assert.equal(getErrorOutcome(error), Outcome.notRun)
+  store.fault = StoreFault.none
+  assert.equal((await range.claim('k', 'f')).isGranted, true)
+})
+
+test('an answer recorded during an outage reaches the successor after it', async () => {
+  const store = new MemoryStore()
+  const clock = new ManualClock()
+  const [first, second] = [createRange(store, clock, 'a'), createRange(store, clock, 'b')]
+  await first.claim('k', 'f')
+  store.fault = StoreFault.down
+  first.recordAnswer('k', 'number 7')
+  await clock.advanceGradually(2000, 100)
+  store.fault = StoreFault.none
+  await clock.advanceGradually(2000, 100)
+  assert.equal((await second.claim('k', 'f')).entry.answer, 'number 7')
+})
+
+test('a released key can be claimed again, and an expired one too', async () => {
+  const store = new MemoryStore()
+  const clock = new ManualClock()
+  const range = createRange(store, clock, 'a', 10_000)
+  await range.claim('k', 'f')
+  range.release('k')
+  assert.equal((await range.claim('k', 'f')).isGranted, true)
+  clock.advance(11_000)
+  await range.claim('other', 'f')
+  assert.equal((await range.claim('k', 'f')).isGranted, true)
+})
+
+test('full logs move into segments that a successor reads', async () => {
+  const store = new MemoryStore()
+  const clock = new ManualClock()
+  const range = createRange(store, clock, 'a')
+  for (let batch = 0; batch < 5; batch++) {
+    await Promise.all(Array.from({ length: 400 }, async (_, index) => await range.claim(`k-${batch}-${index}`, 'f'.repeat(64))))
+  }
+  const objects = await store.list('claims/')
+  assert.ok(objects.length > 1)
+  assert.ok(objects.every((object) => object.value.length < 200_000))
+  assert.equal((await createRange(store, clock, 'b').claim('k-0-0', 'f')).isGranted, false)
+})
--- /dev/null
+++ b/packages/coordination/src/test/plan-book_test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { ConfigReplica, MemoryStore, PlanBook, StoreFault, StoreRecord } from '@clementineloft/coordination'
+import type { ConfigSnapshot, Plan } from '@clementineloft/coordination'
+import { createError, ErrorKind, getErrorKind, ManualClock } from '@clementineloft/kernel'
+
+interface Doc { teams: Record<string, number> }
+
+const createBook = async () => {
+  const store = new MemoryStore()
+  const clock = new ManualClock()
+  const record = new StoreRecord<ConfigSnapshot<Doc>>(store, 'config', clock)
+  await record.write(undefined, { revision: 1, document: { teams: { a: 1, b: 1 } }, changes: [] }, 'first')
+  const replica = new ConfigReplica<Doc>()
+  const book = new PlanBook(store, record, replica, clock, (_, after) => {
+    if (Object.keys(after.teams).length === 0) throw createError(ErrorKind.conflict, 'the last team must stay')
+  })
+  const propose = async (team: string, weight: number | undefined): Promise<Plan> => await book.propose('change', (document) => {
+    if (weight === undefined) delete document.teams[team]
+    else document.teams[team] = weight
+    return { document, summary: [] }
+  })
+  return { store, clock, replica, book, propose }
+}
+
+test('of two plans that touch the same team one is refused and told why', async () => {
+  const { book, propose } = await createBook()
+  const [first, second] = [await propose('a', 2), await propose('a', 3)]
+  const results = await Promise.allSettled([book.confirm(first.id), book.confirm(second.id)])
+  assert.equal(results.filter((result) => result.status === 'fulfilled').length, 1)
+  const refused = results.find((result) => result.status === 'rejected') as PromiseRejectedResult
+  assert.match(String(refused.reason), /was changed by plan/)
+})
+
+test('plans that touch different teams both take effect', async () => {
+  const { book, propose, replica } = await createBook()
+  const [first, second] = [await propose('a', 2), await propose('b', 3)]
+  await Promise.all([book.confirm(first.id), book.confirm(second.id)])
+  assert.deepEqual(replica.getDocument(), { teams: { a: 2, b: 3 } })
+})
+
+test('plans that are fine alone but break a rule together are not both confirmed', async () => {
+  const { book, propose } = await createBook()
+  const [first, second] = [await propose('a', undefined), await propose('b', undefined)]
+  await book.confirm(first.id)
+  await assert.rejects(book.confirm(second.id), /the last team must stay/)
+})
+
+test('a confirmation whose answer was lost is settled, and confirming again does no harm', async () => {
+  const { store, clock, book, propose } = await createBook()
+  const plan = await propose('a', 2)
+  store.fault = StoreFault.lostAnswers
+  const confirming = book.confirm(plan.id)
+  await clock.advanceGradually(5000, 100)
+  assert.equal(await confirming, 2)
+  store.fault = StoreFault.none
+  assert.equal(await book.confirm(plan.id), 2)
+})
+
+test('nothing changes while the store is down, and the caller is told', async () => {
+  const { store, book, propose } = await createBook()
+  const plan = await propose('a', 2)
+  store.fault = StoreFault.down
+  await assert.rejects(book.confirm(plan.id), (error) => getErrorKind(error) === ErrorKind.storeUnavailable)
+})
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,5 +1,4 @@
 /**
  * Stand-ins for what the platform gives, for tests and measurements.
  */
-export * from './lib/memory-store.js'
 export * from './lib/model-fold.js'
--- a/packages/stand-ins/src/lib/platform-server.ts
+++ b/packages/stand-ins/src/lib/platform-server.ts
@@ -2,9 +2,9 @@
  * The platform as a process: object API and list of instances over HTTP.
  */
 import type { Server } from 'node:http'
+import { MemoryStore, StoreFault } from '@clementineloft/coordination'
 import type { Instance } from '@clementineloft/coordination'
 import { ErrorKind, getErrorKind } from '@clementineloft/kernel'
-import { MemoryStore, StoreFault } from './memory-store.js'
 import { startStandInServer } from './stand-in-server.js'
 import type { StandInReply, StandInRequest } from './stand-in-server.js'
 
