Admit by weighted share, retry within a budget, notice slow engines

Cause: an endpoint full of one team's long streams refused the next request of another (head-of-line blocking by places), refusals were retried without bound, and a slow engine looked like a good one.

--- a/packages/clementineloft/src/lib/completion-handler.ts
+++ b/packages/clementineloft/src/lib/completion-handler.ts
@@ -151,6 +151,11 @@
     this.response.end(`event: error\ndata: ${JSON.stringify({ error: problem })}\n\n`)
   }
 
+  /** Ends the answer of a caller that has gone. */
+  handleCancelled (): void {
+    this.handleEnd()
+  }
+
   override handleReplaced (lost: string[], cause: string): void {
     this.context.metrics.count('stages_replaced_total', lost.length)
     for (const endpoint of lost) this.context.journal.record({ name: 'stage-replaced', request: this.request, team: this.team, endpoint, detail: cause })
@@ -202,6 +207,8 @@
 
 /** Answers completion requests. */
 export class CompletionHandler {
+  private readonly inFlight = new Map<string, number>()
+
   /**
    * @param context - parts of this process
    * @param manager - starts the runs
@@ -234,12 +241,18 @@
     if (this.context.crashes.isQuarantined(fingerprint)) {
       throw createError(ErrorKind.quarantined, 'the same request crashed several endpoints before; change it')
     }
+    this.checkLimit(team)
     const isSuspect = this.context.crashes.isSuspect(fingerprint)
     this.context.journal.record({ name: 'request-accepted', request, team: team.name, detail: `model ${model}` })
     const writers: CompletionWriter[] = []
     const run = this.manager.start(
       { request, team: team.name, model, prompt, fingerprint, isSuspect, maxTokens, deadlineMs: this.deadlineMs },
-      (handleEnd) => {
+      (handleRunEnd) => {
+        const handleEnd = (): void => {
+          handleRunEnd()
+          this.inFlight.set(team.name, this.countInFlight(team.name) - 1)
+        }
+        this.inFlight.set(team.name, this.countInFlight(team.name) + 1)
         const writer = new CompletionWriter(this.context, completion, request, team.name, fingerprint, incoming, response, handleEnd)
         writers.push(writer)
         return writer
@@ -251,6 +264,17 @@
       this.context.metrics.count('requests_total{outcome="cancelled"}')
       this.context.journal.record({ name: 'request-cancelled', request, team: team.name })
       this.manager.cancel(request)
+      for (const writer of writers) writer.handleCancelled()
     })
   }
+
+  private countInFlight (team: string): number {
+    return this.inFlight.get(team) ?? 0
+  }
+
+  private checkLimit (team: CallerTeam): void {
+    const limit = team.terms.maxInFlight
+    if (limit === undefined || this.countInFlight(team.name) < limit) return
+    throw createError(ErrorKind.limited, `team "${team.name}" has ${limit} requests in flight at this entry, which is its limit`)
+  }
 }
--- a/packages/clementineloft/src/lib/run-manager.ts
+++ b/packages/clementineloft/src/lib/run-manager.ts
@@ -2,7 +2,7 @@
  * All pipeline runs of one entry, over one pool of links.
  */
 import { ErrorKind } from '@clementineloft/kernel'
-import { getFrameRequest, LoadTable, PipelinePicker, PipelineRun, StagePort, StageSource } from '@clementineloft/routing'
+import { getFrameRequest, LoadTable, PipelinePicker, PipelineRun, RetryBudget, StagePort, StageSource } from '@clementineloft/routing'
 import type { Frame, ModelGraph, RunListener, RunOptions, RunRequest, StageEndpoint } from '@clementineloft/routing'
 import type { clementineloft as wire } from '../../generated/wire.js'
 import type { EndpointDirectory } from './endpoint-directory.js'
@@ -10,6 +10,9 @@
 import type { NodeRuntime } from './node-runtime.js'
 import type { ProcessContext } from './process-context.js'
 
+const retriesPerSuccess = 0.2
+const maxSavedRetries = 50
+
 /** Picks endpoints for the runs of one model. */
 class GraphSource extends StageSource {
   constructor (
@@ -79,6 +82,7 @@
 export class RunManager {
   private readonly runs = new Map<string, PipelineRun>()
   private readonly loads = new LoadTable()
+  private readonly retryBudget = new RetryBudget(retriesPerSuccess, maxSavedRetries)
   private readonly pool: LinkPool
   private readonly picker: PipelinePicker
   private readonly context: ProcessContext
@@ -110,7 +114,7 @@
     const handleEnd = (): void => { this.runs.delete(request.request) }
     const source = new GraphSource(() => this.directory.findGraph(request.model), this.picker, this.directory)
     const port = new PoolPort(this.pool, this.loads)
-    const run = new PipelineRun(request, source, port, createListener(handleEnd), this.context.clock, this.options)
+    const run = new PipelineRun(request, source, port, createListener(handleEnd), this.context.clock, this.options, this.retryBudget)
     this.runs.set(request.request, run)
     run.start()
     return run
--- a/packages/clementineloft/src/lib/service-handler.ts
+++ b/packages/clementineloft/src/lib/service-handler.ts
@@ -6,6 +6,7 @@
 import {
   computeDigest, computeHash32, createError, createIdentifier, ErrorKind, getErrorMessage, getErrorOutcome, Outcome
 } from '@clementineloft/kernel'
+import { RetryBudget } from '@clementineloft/routing'
 import type { clementineloft as wire } from '../../generated/wire.js'
 import type { CallerTeam } from './authenticate.js'
 import type { ServiceConfig } from './config-document.js'
@@ -21,6 +22,8 @@
 const ticketTimeoutMs = 800
 const maxAttempts = 4
 const maxKeyLength = 255
+const retriesPerSuccess = 0.2
+const maxSavedRetries = 50
 
 /** A call on its way to an endpoint. */
 interface RoutedCall {
@@ -36,6 +39,7 @@
 /** Routes calls of plain services. */
 export class ServiceHandler {
   private readonly clients = new Map<string, UnaryClient>()
+  private readonly retryBudget = new RetryBudget(retriesPerSuccess, maxSavedRetries)
   private inFlight = 0
 
   constructor (
@@ -160,10 +164,12 @@
       if (endpoint === undefined) break
       tried.add(endpoint.name)
       try {
-        return await this.callSettled(call, endpoint, '')
+        const reply = await this.callSettled(call, endpoint, '')
+        this.retryBudget.recordSuccess()
+        return reply
       } catch (error) {
         lastError = error
-        if (!this.canTryNext(call, error)) throw error
+        if (!this.canTryNext(call, error) || !this.retryBudget.take()) throw error
         this.runtime.context.metrics.count('service_retries_total')
       }
     }
--- a/packages/clementineloft/src/lib/stage-sidecar.ts
+++ b/packages/clementineloft/src/lib/stage-sidecar.ts
@@ -7,7 +7,7 @@
 import type { Frame, Hop } from '@clementineloft/routing'
 import type { clementineloft as wire } from '../../generated/wire.js'
 import { modelEngines } from './adapters.js'
-import { computeWeight } from './config-document.js'
+import { computeAdmissionTerms, payingWeight } from './config-document.js'
 import { sidecarService } from './grpc-services.js'
 import { LinkListener, LinkPool } from './link-pool.js'
 import type { NodeRuntime } from './node-runtime.js'
@@ -73,7 +73,8 @@
         clock,
         journal,
         metrics,
-        getWeight: (team) => computeWeight(replica.getDocument()?.teams[team]),
+        getTerms: (team) => computeAdmissionTerms(replica.getDocument()?.teams[team]),
+        reservedWeight: payingWeight,
         isSuspect: (fingerprint) => crashes.isSuspect(fingerprint),
         isQuarantined: (fingerprint) => crashes.isQuarantined(fingerprint)
       },
@@ -91,7 +92,8 @@
     runtime.addService(sidecarService, {
       connect: (stream: Connection) => { this.acceptConnection(stream) }
     })
-    metrics.registerGauge('stage_sessions', () => this.host.getLoad())
+    metrics.registerGauge('stage_sessions', () => this.host.countSessions())
+    metrics.registerGauge('stage_load', () => this.host.getLoad())
     metrics.registerGauge('stage_backlog', () => this.host.getBacklog())
     metrics.registerGauge('stage_log_bytes', () => this.host.getLogBytes())
   }
@@ -108,7 +110,7 @@
 
   /** @returns number of requests held */
   countInFlight (): number {
-    return this.host.getLoad()
+    return this.host.countSessions()
   }
 
   override sendToEntry (connection: string, frame: Frame): void {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * The decisions of the router: pipelines, picking, stages, team queues.
  */
+export * from './lib/admission.js'
 export * from './lib/alignment.js'
 export * from './lib/crash-register.js'
 export * from './lib/engine-executor.js'
@@ -13,5 +14,7 @@
 export * from './lib/output-log.js'
 export * from './lib/pipeline-picker.js'
 export * from './lib/pipeline-run.js'
+export * from './lib/retry-budget.js'
+export * from './lib/slowdown-meter.js'
 export * from './lib/stage-host.js'
 export * from './lib/stage-session.js'
--- a/packages/routing/src/lib/engine-executor.ts
+++ b/packages/routing/src/lib/engine-executor.ts
@@ -7,6 +7,7 @@
 import { createFairQueueClass } from './fair-queue.js'
 import type { FairQueue, FairQueueOptions, TeamWeights } from './fair-queue.js'
 import type { EngineStep, ModelEngine } from './model-engine.js'
+import { SlowdownMeter } from './slowdown-meter.js'
 import type { StageOutput } from './stage-session.js'
 
 /** Bounds of an executor. */
@@ -36,6 +37,7 @@
 export class EngineExecutor {
   private readonly queue: PQueue<FairQueue, FairQueueOptions>
   private readonly running = new Set<StepTerms>()
+  private readonly meter = new SlowdownMeter()
   private readonly suspects = new PQueue({ concurrency: 1 })
 
   constructor (
@@ -53,6 +55,11 @@
     return this.queue.size + this.suspects.size
   }
 
+  /** @returns how many times slower the engine is than at its best; at least 1 */
+  getSlowdown (): number {
+    return this.meter.getSlowdown()
+  }
+
   /**
    * Runs a step in chunks, each queued on its own, so that a long prompt does not hold up others.
    *
@@ -87,8 +94,10 @@
 
   private async runBounded (chunk: EngineStep, terms: StepTerms): Promise<StageOutput[]> {
     this.running.add(terms)
+    const startedMs = this.clock.now()
     try {
       const outputs = await this.waitBounded(this.engine.runStep(chunk))
+      this.meter.record(this.clock.now() - startedMs, chunk.rows.length)
       if (outputs.length === chunk.rows.length) return outputs
       throw createError(ErrorKind.internal, `engine answered ${outputs.length} outputs for ${chunk.rows.length} inputs`)
     } catch (error) {
--- a/packages/routing/src/lib/pipeline-run.ts
+++ b/packages/routing/src/lib/pipeline-run.ts
@@ -10,6 +10,7 @@
 import { computeAlignment, findStuckStage } from './alignment.js'
 import type { FailedFrame, Frame, Hop, RefusedFrame, StatusFrame, Token, TokensFrame } from './frames.js'
 import type { StageEndpoint } from './model-graph.js'
+import type { RetryBudget } from './retry-budget.js'
 
 /** Sends frames to sidecars. A lost endpoint is reported by `handleLost`. */
 export abstract class StagePort {
@@ -95,6 +96,7 @@
   private isPaused = false
   private hasFed = false
   private timer: Timer | undefined
+  private deadline: Timer | undefined
   private earlierProbe: StatusFrame[] = []
 
   constructor (
@@ -103,11 +105,18 @@
     private readonly port: StagePort,
     private readonly listener: RunListener,
     private readonly clock: Clock,
-    private readonly options: RunOptions
+    private readonly options: RunOptions,
+    private readonly retryBudget: RetryBudget
   ) {}
 
   /** Picks a pipeline and reserves it. */
   start (): void {
+    const { deadlineMs } = this.request
+    if (deadlineMs > 0) {
+      this.deadline = this.clock.schedule(deadlineMs, () => {
+        if (!this.isEnded()) this.fail(ErrorKind.deadline, `no whole answer within ${deadlineMs} ms`)
+      })
+    }
     const endpoints = this.source.pick(this.excluded)
     if (endpoints === undefined) {
       this.fail(ErrorKind.noCapacity, `no endpoints cover all layers of model "${this.request.model}"`)
@@ -281,6 +290,7 @@
       if (this.isEnded()) return
       if (token.isLast || this.generated.length >= this.request.maxTokens) {
         this.end()
+        this.retryBudget.recordSuccess()
         this.listener.handleDone()
         return
       }
@@ -296,6 +306,10 @@
       this.fail(ErrorKind.quarantined, frame.message)
       return
     }
+    if (!this.retryBudget.take()) {
+      this.fail(frame.kind as ErrorKind, `${frame.message}; no retries are left`)
+      return
+    }
     this.replaceStages([stage], `refused: ${frame.kind}`, frame.kind as ErrorKind)
   }
 
@@ -410,6 +424,7 @@
   private end (): void {
     this.state = RunState.ended
     this.timer?.cancel()
+    this.deadline?.cancel()
     for (const stage of this.stages) this.sendClose(stage)
   }
 
--- a/packages/routing/src/lib/stage-host.ts
+++ b/packages/routing/src/lib/stage-host.ts
@@ -3,9 +3,10 @@
  */
 import { ErrorKind, getErrorKind, getErrorMessage } from '@clementineloft/kernel'
 import type { Clock, Journal, Metrics, Timer } from '@clementineloft/kernel'
+import { Admission } from './admission.js'
+import type { AdmissionTerms } from './admission.js'
 import { EngineExecutor, isEngineCrash } from './engine-executor.js'
 import type { ExecutorOptions } from './engine-executor.js'
-import type { TeamWeights } from './fair-queue.js'
 import { getFrameRequest } from './frames.js'
 import type { Frame, Hop, OpenFrame, StepFrame, Token } from './frames.js'
 import type { ModelEngine } from './model-engine.js'
@@ -44,7 +45,10 @@
   clock: Clock
   journal: Journal
   metrics: Metrics
-  getWeight: TeamWeights
+  /** Present terms of a team. */
+  getTerms: (team: string) => AdmissionTerms
+  /** Weight of a team that holds nothing yet, for which places are kept. */
+  reservedWeight: number
   /** Whether a request with this fingerprint was running when an engine crashed. */
   isSuspect: (fingerprint: string) => boolean
   /** Whether a request with this fingerprint is refused everywhere. */
@@ -71,6 +75,7 @@
   private readonly sessions = new Map<string, HostedSession>()
   private readonly tombstones = new Map<string, { attempt: number, timer: Timer }>()
   private readonly executor: EngineExecutor
+  private readonly admission: Admission
   private isLeaving = false
   private isEngineDown = false
   private crashReport = Promise.resolve()
@@ -81,16 +86,22 @@
     private readonly outlet: StageOutlet,
     private readonly options: StageHostOptions
   ) {
-    this.executor = new EngineExecutor(engine, context.clock, options, context.getWeight, (fingerprints) => {
+    this.admission = new Admission(options.maxSessions, context.getTerms, context.reservedWeight)
+    this.executor = new EngineExecutor(engine, context.clock, options, (team) => context.getTerms(team).weight, (fingerprints) => {
       this.crashReport = this.outlet.reportCrash(fingerprints)
     })
   }
 
-  /** @returns number of requests held, as the load reported to entries */
-  getLoad (): number {
+  /** @returns number of requests held */
+  countSessions (): number {
     return this.sessions.size
   }
 
+  /** @returns the load reported to entries: requests held, counted more if the engine has become slow */
+  getLoad (): number {
+    return Math.round(this.sessions.size * this.executor.getSlowdown())
+  }
+
   /** @returns number of steps that wait for the engine */
   getBacklog (): number {
     return this.executor.getBacklog()
@@ -180,6 +191,7 @@
       isClosed: false
     }
     this.sessions.set(open.request, hosted)
+    this.admission.add(open.team)
     const { request, team } = open
     this.context.journal.record({ name: 'stage-open', request, team, endpoint: this.context.endpoint, detail: `layers ${open.firstLayer}-${open.lastLayer}, attempt ${open.attempt}` })
     if (hosted.isEncoding) await this.encodePrompt(hosted, open)
@@ -208,8 +220,8 @@
       return { kind: ErrorKind.quarantined, message: 'the same request crashed several endpoints before' }
     }
     if (this.isEngineDown) return { kind: ErrorKind.noCapacity, message: `the engine of endpoint "${endpoint}" is down` }
-    if (this.sessions.size >= this.options.maxSessions) {
-      return { kind: ErrorKind.overloaded, message: `endpoint "${endpoint}" holds ${this.sessions.size} requests` }
+    if (!this.admission.canAdmit(open.team)) {
+      return { kind: ErrorKind.overloaded, message: `endpoint "${endpoint}" holds ${this.sessions.size} requests; no place for team "${open.team}"` }
     }
     return undefined
   }
@@ -307,6 +319,7 @@
   private closeSession (hosted: HostedSession): void {
     if (hosted.isClosed) return
     hosted.isClosed = true
+    this.admission.remove(hosted.session.team)
     if (this.sessions.get(hosted.session.request) === hosted) this.sessions.delete(hosted.session.request)
     this.engine.endSession(hosted.engineSession)
   }
--- a/packages/routing/src/test/pipeline-run_property_test.ts
+++ b/packages/routing/src/test/pipeline-run_property_test.ts
@@ -7,7 +7,7 @@
 import fc from 'fast-check'
 import { HybridClock, Journal, ManualClock, Metrics, SeededRandom } from '@clementineloft/kernel'
 import {
-  LoadTable, ModelEngine, ModelGraph, PipelinePicker, PipelineRun, RunListener, StageHost, StageOutlet, StagePort, StageSource
+  LoadTable, ModelEngine, ModelGraph, PipelinePicker, PipelineRun, RetryBudget, RunListener, StageHost, StageOutlet, StagePort, StageSource
 } from '@clementineloft/routing'
 import type { EngineStep, Frame, Hop, RunOptions, StageEndpoint, StageOutput, Token } from '@clementineloft/routing'
 
@@ -143,7 +143,8 @@
       clock,
       journal: new Journal(name, new HybridClock(clock), 10),
       metrics: new Metrics(),
-      getWeight: () => 1,
+      getTerms: () => ({ weight: 1, openShare: 1 }),
+      reservedWeight: 1,
       isSuspect: () => false,
       isQuarantined: () => false
     }
@@ -221,7 +222,7 @@
     const recorder = new Recorder()
     const request = { request: 'r', team: 't', model: 'm', prompt: 'p', fingerprint: 'f', isSuspect: false, maxTokens, deadlineMs: 0 }
     const source = new GraphSource(graph, new PipelinePicker(new LoadTable(), random))
-    network.run = new PipelineRun(request, source, network, recorder, clock, options)
+    network.run = new PipelineRun(request, source, network, recorder, clock, options, new RetryBudget(1, 100))
     network.run.start()
     for (const harm of harms) {
       await clock.advanceGradually(harm.afterMs, 1)
