Admit by dynamic thresholds in place of weighted shares

Ways weighed: a phantom team in the shares (two holders still filled everything), dynamic thresholds (chosen: each team may hold a multiple of the places still free). Before: 50 unpaid + 50 rival of 100 places, paying team refused. Conclusion: simpler and stronger; the previous rule is dropped.

--- a/packages/clementineloft/src/lib/config-document.ts
+++ b/packages/clementineloft/src/lib/config-document.ts
@@ -2,7 +2,6 @@
  * The configuration that operators change: teams with their terms, models, endpoints and plain services.
  */
 import { z } from 'zod'
-import type { AdmissionTerms } from '@clementineloft/routing'
 
 const teamSchema = z.strictObject({
   /** Teams of a lower class wait for those of a higher one. */
@@ -54,11 +53,9 @@
 /** Share of a class relative to others: paying teams come first, yet nobody starves. */
 const classShares: Readonly<Record<TeamTerms['class'], number>> = { paying: 1000, late: 30, unpaid: 1 }
 
-/** Weight of a paying team whose own weight is 1. */
-export const payingWeight = classShares.paying
-
-/** Part of an endpoint's places that a class may fill freely. */
-const openShares: Readonly<Record<TeamTerms['class'], number>> = { paying: 0.9, late: 0.75, unpaid: 0.5 }
+/** Multiple of the free places at an endpoint that a team of a class may hold. */
+const freeFactors: Readonly<Record<TeamTerms['class'], number>> = { paying: 8, late: 3, unpaid: 1 }
+const maxFreeFactor = 32
 
 /**
  * @param terms - terms of a team; `undefined` for a team that is not configured
@@ -69,7 +66,7 @@
 
 /**
  * @param terms - terms of a team; `undefined` for a team that is not configured
- * @returns what admission at endpoints depends on
+ * @returns the multiple of the free places at an endpoint that it may hold
  */
-export const computeAdmissionTerms = (terms: TeamTerms | undefined): AdmissionTerms =>
-  ({ weight: computeWeight(terms), openShare: openShares[terms?.class ?? 'unpaid'] })
+export const computeFreeFactor = (terms: TeamTerms | undefined): number =>
+  terms === undefined ? freeFactors.unpaid : Math.min(maxFreeFactor, freeFactors[terms.class] * terms.weight)
--- a/packages/clementineloft/src/lib/stage-sidecar.ts
+++ b/packages/clementineloft/src/lib/stage-sidecar.ts
@@ -7,7 +7,7 @@
 import type { Frame, Hop } from '@clementineloft/routing'
 import type { clementineloft as wire } from '../../generated/wire.js'
 import { modelEngines } from './adapters.js'
-import { computeAdmissionTerms, payingWeight } from './config-document.js'
+import { computeFreeFactor, computeWeight } from './config-document.js'
 import { sidecarService } from './grpc-services.js'
 import { LinkListener, LinkPool } from './link-pool.js'
 import type { NodeRuntime } from './node-runtime.js'
@@ -73,8 +73,8 @@
         clock,
         journal,
         metrics,
-        getTerms: (team) => computeAdmissionTerms(replica.getDocument()?.teams[team]),
-        reservedWeight: payingWeight,
+        getWeight: (team) => computeWeight(replica.getDocument()?.teams[team]),
+        getFreeFactor: (team) => computeFreeFactor(replica.getDocument()?.teams[team]),
         isSuspect: (fingerprint) => crashes.isSuspect(fingerprint),
         isQuarantined: (fingerprint) => crashes.isQuarantined(fingerprint)
       },
--- a/packages/routing/src/lib/admission.ts
+++ b/packages/routing/src/lib/admission.ts
@@ -1,17 +1,13 @@
 /**
  * Decides whether an endpoint takes one more request, so that no team fills it at the cost of others.
  *
- * Below a soft limit, which is lower for lower classes, everyone is admitted. Above it only teams that hold less than
- * their weighted share are, so that a burst or a flood of one team leaves room for the next request of another.
+ * Each team may hold a multiple of the places that are still free (dynamic thresholds, as in shared packet buffers). A
+ * team alone comes close to all places, a flood of a team with low terms stops earlier, and some places always stay
+ * free for the next request of a team that holds nothing.
  */
 
-/** Terms that admission depends on. */
-export interface AdmissionTerms {
-  /** Share of the team relative to others. */
-  weight: number
-  /** Part of the places that the team's class may fill freely, from 0 to 1. */
-  openShare: number
-}
+/** Gives the multiple of the free places that a team may hold; greater than 0. */
+export type FreeFactor = (team: string) => number
 
 /** Counts the requests that each team holds at one endpoint. */
 export class Admission {
@@ -20,21 +16,17 @@
 
   /**
    * @param places - requests that the endpoint holds at most
-   * @param getTerms - present terms of a team
-   * @param reservedWeight - weight of a team that holds nothing yet, for which places are kept
+   * @param getFreeFactor - present terms of a team
    */
   constructor (
     private readonly places: number,
-    private readonly getTerms: (team: string) => AdmissionTerms,
-    private readonly reservedWeight: number
+    private readonly getFreeFactor: FreeFactor
   ) {}
 
   /** @returns whether a request of the team would be admitted now */
   canAdmit (team: string): boolean {
-    if (this.held >= this.places) return false
-    const terms = this.getTerms(team)
-    if (this.held < this.places * terms.openShare) return true
-    return (this.heldByTeam.get(team) ?? 0) < this.computeShare(team, terms.weight)
+    const free = this.places - this.held
+    return free > 0 && (this.heldByTeam.get(team) ?? 0) < this.getFreeFactor(team) * free
   }
 
   /** Counts a request that was admitted. */
@@ -50,12 +42,4 @@
     if (left > 0) this.heldByTeam.set(team, left)
     else this.heldByTeam.delete(team)
   }
-
-  private computeShare (team: string, weight: number): number {
-    let total = weight + this.reservedWeight
-    for (const other of this.heldByTeam.keys()) {
-      if (other !== team) total += this.getTerms(other).weight
-    }
-    return this.places * weight / total
-  }
 }
--- a/packages/routing/src/lib/stage-host.ts
+++ b/packages/routing/src/lib/stage-host.ts
@@ -4,9 +4,10 @@
 import { ErrorKind, getErrorKind, getErrorMessage } from '@clementineloft/kernel'
 import type { Clock, Journal, Metrics, Timer } from '@clementineloft/kernel'
 import { Admission } from './admission.js'
-import type { AdmissionTerms } from './admission.js'
+import type { FreeFactor } from './admission.js'
 import { EngineExecutor, isEngineCrash } from './engine-executor.js'
 import type { ExecutorOptions } from './engine-executor.js'
+import type { TeamWeights } from './fair-queue.js'
 import { getFrameRequest } from './frames.js'
 import type { Frame, Hop, OpenFrame, StepFrame, Token } from './frames.js'
 import type { ModelEngine } from './model-engine.js'
@@ -45,10 +46,8 @@
   clock: Clock
   journal: Journal
   metrics: Metrics
-  /** Present terms of a team. */
-  getTerms: (team: string) => AdmissionTerms
-  /** Weight of a team that holds nothing yet, for which places are kept. */
-  reservedWeight: number
+  getWeight: TeamWeights
+  getFreeFactor: FreeFactor
   /** Whether a request with this fingerprint was running when an engine crashed. */
   isSuspect: (fingerprint: string) => boolean
   /** Whether a request with this fingerprint is refused everywhere. */
@@ -86,8 +85,8 @@
     private readonly outlet: StageOutlet,
     private readonly options: StageHostOptions
   ) {
-    this.admission = new Admission(options.maxSessions, context.getTerms, context.reservedWeight)
-    this.executor = new EngineExecutor(engine, context.clock, options, (team) => context.getTerms(team).weight, (fingerprints) => {
+    this.admission = new Admission(options.maxSessions, context.getFreeFactor)
+    this.executor = new EngineExecutor(engine, context.clock, options, context.getWeight, (fingerprints) => {
       this.crashReport = this.outlet.reportCrash(fingerprints)
     })
   }
