--- a/packages/clementineloft/src/lib/config-document.ts
+++ b/packages/clementineloft/src/lib/config-document.ts
@@ -54,7 +54,7 @@
 const classShares: Readonly<Record<TeamTerms['class'], number>> = { paying: 1000, late: 30, unpaid: 1 }
 
 /** Multiple of the free places at an endpoint that a team of a class may hold. */
-const freeFactors: Readonly<Record<TeamTerms['class'], number>> = { paying: 8, late: 3, unpaid: 1 }
+const freeFactors: Readonly<Record<TeamTerms['class'], number>> = { paying: 16, late: 5, unpaid: 1 }
 const maxFreeFactor = 32
 
 /**
@@ -70,3 +70,15 @@
  */
 export const computeFreeFactor = (terms: TeamTerms | undefined): number =>
   terms === undefined ? freeFactors.unpaid : Math.min(maxFreeFactor, freeFactors[terms.class] * terms.weight)
+
+const millisecondsPerSecond = 1000
+
+/**
+ * @param endpoint - configuration of an endpoint
+ * @param tokenIntervalMs - target for the time between tokens, in milliseconds
+ * @returns the requests that it may hold within the target; unlimited if its speed is not configured
+ */
+export const computePlaces = (endpoint: EndpointConfig | undefined, tokenIntervalMs: number): number =>
+  endpoint?.tokensPerSecond === undefined
+    ? Infinity
+    : Math.max(1, Math.floor(endpoint.tokensPerSecond * tokenIntervalMs / millisecondsPerSecond))
--- a/packages/clementineloft/src/lib/settings-schema.ts
+++ b/packages/clementineloft/src/lib/settings-schema.ts
@@ -83,8 +83,11 @@
   adapter: z.enum(['http']).default('http').describe('adapter of the model engine'),
   url: url.describe('the model engine'),
   max_batch: count.default(64).describe('steps that run at the same time'),
-  max_chunk: count.default(256).describe('positions of a long prompt that run in one step'),
+  max_chunk: count.default(64).describe('positions of a long prompt that run in one step'),
+  burst_credit: count.default(4096).describe('positions by which a team that has used less than its share may run ahead of one that has used more'),
+  quantum: count.default(512).describe('positions for which a prompt may run on before a team of the same weight that waits'),
   step_timeout_ms: milliseconds.default(1500).describe('time a step may take, in milliseconds'),
+  token_interval_ms: milliseconds.default(38).describe('target for the time between tokens, in milliseconds; with the endpoint\'s speed it bounds the requests held'),
   max_sessions: count.default(2048).describe('requests held at the same time'),
   max_log_bytes: count.default(8_388_608).describe('outputs kept for each request, in bytes')
 }).describe('Model engine beside this sidecar')
--- a/packages/clementineloft/src/lib/stage-sidecar.ts
+++ b/packages/clementineloft/src/lib/stage-sidecar.ts
@@ -7,7 +7,7 @@
 import type { Frame, Hop } from '@clementineloft/routing'
 import type { clementineloft as wire } from '../../generated/wire.js'
 import { modelEngines } from './adapters.js'
-import { computeFreeFactor, computeWeight } from './config-document.js'
+import { computeFreeFactor, computePlaces, computeWeight } from './config-document.js'
 import { sidecarService } from './grpc-services.js'
 import { LinkListener, LinkPool } from './link-pool.js'
 import type { NodeRuntime } from './node-runtime.js'
@@ -75,6 +75,7 @@
         metrics,
         getWeight: (team) => computeWeight(replica.getDocument()?.teams[team]),
         getFreeFactor: (team) => computeFreeFactor(replica.getDocument()?.teams[team]),
+        getPlaces: () => computePlaces(replica.getDocument()?.endpoints[context.settings.instance.name], settings.token_interval_ms),
         isSuspect: (fingerprint) => crashes.isSuspect(fingerprint),
         isQuarantined: (fingerprint) => crashes.isQuarantined(fingerprint)
       },
@@ -84,6 +85,7 @@
         maxBatch: settings.max_batch,
         maxChunk: settings.max_chunk,
         stepTimeoutMs: settings.step_timeout_ms,
+        fairness: { burstCredit: settings.burst_credit, quantum: settings.quantum },
         maxSessions: settings.max_sessions,
         maxLogBytes: settings.max_log_bytes
       }
--- a/packages/routing/src/lib/admission.ts
+++ b/packages/routing/src/lib/admission.ts
@@ -15,17 +15,17 @@
   private held = 0
 
   /**
-   * @param places - requests that the endpoint holds at most
+   * @param getPlaces - requests that the endpoint may hold at present
    * @param getFreeFactor - present terms of a team
    */
   constructor (
-    private readonly places: number,
+    private readonly getPlaces: () => number,
     private readonly getFreeFactor: FreeFactor
   ) {}
 
   /** @returns whether a request of the team would be admitted now */
   canAdmit (team: string): boolean {
-    const free = this.places - this.held
+    const free = this.getPlaces() - this.held
     return free > 0 && (this.heldByTeam.get(team) ?? 0) < this.getFreeFactor(team) * free
   }
 
--- a/packages/routing/src/lib/engine-executor.ts
+++ b/packages/routing/src/lib/engine-executor.ts
@@ -5,7 +5,7 @@
 import { createError, ErrorKind, getErrorKind, getErrorOutcome, Outcome } from '@clementineloft/kernel'
 import type { Clock } from '@clementineloft/kernel'
 import { createFairQueueClass } from './fair-queue.js'
-import type { FairQueue, FairQueueOptions, TeamWeights } from './fair-queue.js'
+import type { FairnessOptions, FairQueue, FairQueueOptions, TeamWeights } from './fair-queue.js'
 import type { EngineStep, ModelEngine } from './model-engine.js'
 import { SlowdownMeter } from './slowdown-meter.js'
 import type { StageOutput } from './stage-session.js'
@@ -18,6 +18,8 @@
   maxChunk: number
   /** How long a step may take, in milliseconds. */
   stepTimeoutMs: number
+  /** How far the order may depart from exact shares, in positions. */
+  fairness: FairnessOptions
 }
 
 /** For whom a step runs. */
@@ -33,9 +35,13 @@
 export const isEngineCrash = (error: unknown): boolean =>
   getErrorKind(error) === ErrorKind.endpointFailed && getErrorOutcome(error) === Outcome.unknown
 
+/** @returns the work in a step; all steps at an endpoint run through the same layers */
+const computeCost = (step: EngineStep): number => step.rows.length
+
 /** Queues steps in front of one engine. */
 export class EngineExecutor {
   private readonly queue: PQueue<FairQueue, FairQueueOptions>
+  private fairQueue: FairQueue | undefined
   private readonly running = new Set<StepTerms>()
   private readonly meter = new SlowdownMeter()
   private readonly suspects = new PQueue({ concurrency: 1 })
@@ -47,7 +53,8 @@
     getWeight: TeamWeights,
     private readonly handleCrash: (fingerprints: string[]) => void
   ) {
-    this.queue = new PQueue({ concurrency: options.maxBatch, queueClass: createFairQueueClass(getWeight) })
+    const queueClass = createFairQueueClass(getWeight, options.fairness, (fairQueue) => { this.fairQueue = fairQueue })
+    this.queue = new PQueue({ concurrency: options.maxBatch, queueClass })
   }
 
   /** @returns number of steps that wait */
@@ -61,32 +68,48 @@
   }
 
   /**
-   * Runs a step in chunks, each queued on its own, so that a long prompt does not hold up others.
+   * Runs a step in chunks, so that a long prompt does not hold up others. Between chunks the step keeps its place in
+   * the batch while its team is next in fair order, and queues again otherwise.
    *
    * @param step - the step; steps of one session must not overlap
    * @param terms - for whom it runs
    * @param handleChunk - receives the outputs of each chunk, in order
    */
   async run (step: EngineStep, terms: StepTerms, handleChunk: (outputs: StageOutput[]) => void): Promise<void> {
+    const chunks = this.splitStep(step)
+    while (chunks.length > 0) {
+      const runChunks = async (): Promise<void> => { await this.runWhileNext(chunks, terms, handleChunk) }
+      if (terms.isSuspect) await this.suspects.add(async () => { await this.runAlone(runChunks) })
+      else await this.queue.add(runChunks, { team: terms.team, cost: computeCost(chunks[0] as EngineStep) })
+    }
+  }
+
+  private splitStep (step: EngineStep): EngineStep[] {
+    const chunks: EngineStep[] = []
     for (let start = 0; start < step.rows.length; start += this.options.maxChunk) {
       const rows = step.rows.slice(start, start + this.options.maxChunk)
-      const chunk = { ...step, position: step.position + start, rows }
-      handleChunk(await this.runChunk(chunk, terms))
+      chunks.push({ ...step, position: step.position + start, rows })
     }
+    return chunks
   }
 
-  private async runChunk (chunk: EngineStep, terms: StepTerms): Promise<StageOutput[]> {
-    if (terms.isSuspect) return await this.suspects.add(async () => await this.runAlone(chunk, terms)) as StageOutput[]
-    const cost = chunk.rows.length * (chunk.lastLayer - chunk.firstLayer + 1)
-    const options = { team: terms.team, cost }
-    return await this.queue.add(async () => await this.runBounded(chunk, terms), options) as StageOutput[]
+  private async runWhileNext (
+    chunks: EngineStep[],
+    terms: StepTerms,
+    handleChunk: (outputs: StageOutput[]) => void
+  ): Promise<void> {
+    for (let chunk = chunks.shift(); chunk !== undefined; chunk = chunks.shift()) {
+      handleChunk(await this.runBounded(chunk, terms))
+      const next = chunks[0]
+      if (next === undefined || this.fairQueue?.tryContinue(terms.team, computeCost(next)) !== true) return
+    }
   }
 
-  private async runAlone (chunk: EngineStep, terms: StepTerms): Promise<StageOutput[]> {
+  private async runAlone (runChunks: () => Promise<void>): Promise<void> {
     this.queue.pause()
     try {
       await this.queue.onPendingZero()
-      return await this.runBounded(chunk, terms)
+      await runChunks()
     } finally {
       this.queue.start()
     }
--- a/packages/routing/src/lib/fair-queue.ts
+++ b/packages/routing/src/lib/fair-queue.ts
@@ -22,6 +22,17 @@
 /** Gives the share of a team relative to others; greater than 0. */
 export type TeamWeights = (team: string) => number
 
+/** How far the order may depart from exact shares, in units of cost. */
+export interface FairnessOptions {
+  /** Work by which a team that has used less than its share may run ahead of one that has used more. */
+  burstCredit: number
+  /** Work by which a job may run on before a team of the same weight that waits. */
+  quantum: number
+}
+
+/** Shares as exact as single jobs allow. */
+export const exactFairness: FairnessOptions = { burstCredit: 0, quantum: 0 }
+
 interface QueuedJob {
   run: RunFunction
   cost: number
@@ -36,7 +47,7 @@
 const defaultCost = 1
 
 /**
- * Serves teams by virtual start time. Idle teams hold no state and gather no credit. Weights are read when a job
+ * Serves teams by virtual start time. Idle teams gather no credit beyond a bound. Weights are read when a job
  * starts, so changed terms apply to what already waits.
  */
 export class FairQueue implements Queue<RunFunction, FairQueueOptions> {
@@ -45,8 +56,14 @@
   private virtualTime = 0
   private queued = 0
 
-  /** @param getWeight - present weight of a team */
-  constructor (private readonly getWeight: TeamWeights) {}
+  /**
+   * @param getWeight - present weight of a team
+   * @param options - how far the order may depart from exact shares
+   */
+  constructor (
+    private readonly getWeight: TeamWeights,
+    private readonly options: FairnessOptions = exactFairness
+  ) {}
 
   get size (): number {
     return this.queued
@@ -65,7 +82,7 @@
       backlog.jobs.push(job)
       return
     }
-    const virtualStart = Math.max(this.virtualTime, this.finishes.get(team) ?? 0)
+    const virtualStart = this.computeStart(team)
     this.backlogs.set(team, { jobs: [job], virtualStart })
   }
 
@@ -86,6 +103,25 @@
     return job.run
   }
 
+  /**
+   * Lets a job that has just run go on with more work without queueing again, if its team would be served next anyway.
+   *
+   * @param team - name of the team
+   * @param cost - cost of the further work
+   * @returns whether it may go on; the work is then charged to the team
+   */
+  tryContinue (team: string, cost: number): boolean {
+    const next = this.findNextTeam()
+    const own = this.backlogs.get(team)
+    const virtualStart = own?.virtualStart ?? this.computeStart(team)
+    if (next !== undefined && next !== team && this.computeLead(virtualStart, next) > this.options.quantum) return false
+    this.virtualTime = Math.max(this.virtualTime, virtualStart)
+    const virtualFinish = virtualStart + cost / this.getWeight(team)
+    if (own === undefined) this.finishes.set(team, virtualFinish)
+    else own.virtualStart = virtualFinish
+    return true
+  }
+
   /**
    * @param options - options that must match
    * @returns the waiting jobs that match
@@ -98,6 +134,17 @@
   /** Priorities follow from weights; a single job has none to change. */
   setPriority (): void {}
 
+  /** A team starts no earlier than its own finished work allows, and with bounded credit for time without work. */
+  private computeStart (team: string): number {
+    const credit = this.options.burstCredit / this.getWeight(team)
+    return Math.max(this.virtualTime - credit, this.finishes.get(team) ?? 0)
+  }
+
+  /** @returns work that the waiting team is due before another may start at a virtual time */
+  private computeLead (virtualStart: number, waiting: string): number {
+    return (virtualStart - (this.backlogs.get(waiting) as TeamBacklog).virtualStart) * this.getWeight(waiting)
+  }
+
   private findNextTeam (): string | undefined {
     let best: string | undefined
     let bestStart = Infinity
@@ -111,18 +158,25 @@
 
   private forgetFinished (): void {
     for (const [team, finish] of this.finishes) {
-      if (finish <= this.virtualTime) this.finishes.delete(team)
+      if (finish <= this.virtualTime - this.options.burstCredit / this.getWeight(team)) this.finishes.delete(team)
     }
   }
 }
 
 /**
  * @param getWeight - present weight of a team
+ * @param options - how far the order may depart from exact shares
+ * @param handleCreated - receives the queue that `p-queue` creates
  * @returns a queue class for `p-queue`, which creates its queue without arguments
  */
-export const createFairQueueClass = (getWeight: TeamWeights): new () => FairQueue =>
+export const createFairQueueClass = (
+  getWeight: TeamWeights,
+  options: FairnessOptions = exactFairness,
+  handleCreated: (queue: FairQueue) => void = () => {}
+): new () => FairQueue =>
   class extends FairQueue {
     constructor () {
-      super(getWeight)
+      super(getWeight, options)
+      handleCreated(this)
     }
   }
--- a/packages/routing/src/lib/stage-host.ts
+++ b/packages/routing/src/lib/stage-host.ts
@@ -48,6 +48,8 @@
   metrics: Metrics
   getWeight: TeamWeights
   getFreeFactor: FreeFactor
+  /** Requests that the endpoint may hold without missing the target for the time between tokens. */
+  getPlaces: () => number
   /** Whether a request with this fingerprint was running when an engine crashed. */
   isSuspect: (fingerprint: string) => boolean
   /** Whether a request with this fingerprint is refused everywhere. */
@@ -85,7 +87,7 @@
     private readonly outlet: StageOutlet,
     private readonly options: StageHostOptions
   ) {
-    this.admission = new Admission(options.maxSessions, context.getFreeFactor)
+    this.admission = new Admission(() => Math.min(options.maxSessions, context.getPlaces()), context.getFreeFactor)
     this.executor = new EngineExecutor(engine, context.clock, options, context.getWeight, (fingerprints) => {
       this.crashReport = this.outlet.reportCrash(fingerprints)
     })
--- a/packages/routing/src/test/fair-queue_test.ts
+++ b/packages/routing/src/test/fair-queue_test.ts
@@ -61,3 +61,30 @@
   const served = serve(queue, jobs, 200)
   assert.ok(Math.abs((served.get('late') as number) - 100) <= 1)
 })
+
+test('a team below its share runs ahead of one above it, by no more than the credit', () => {
+  const queue = new FairQueue(() => 1, { burstCredit: 50, quantum: 0 })
+  const jobs = fill(queue, { busy: { jobs: 1000, cost: 1 } })
+  serve(queue, jobs, 500)
+  for (const [run, job] of fill(queue, { late: { jobs: 500, cost: 1 } })) jobs.set(run, job)
+  const first = serve(queue, jobs, 50)
+  assert.equal(first.get('late'), 50)
+  const served = serve(queue, jobs, 200)
+  assert.ok(Math.abs((served.get('late') as number) - 100) <= 1)
+})
+
+test('a job goes on while its team is next or within the quantum, and not before a team of higher weight', () => {
+  const weights: Record<string, number> = { low: 1, equal: 1, high: 1000 }
+  const queue = new FairQueue((team) => weights[team] as number, { burstCredit: 0, quantum: 10 })
+  fill(queue, { low: { jobs: 1, cost: 5 } })
+  queue.dequeue()
+  assert.equal(queue.tryContinue('low', 5), true)
+  fill(queue, { equal: { jobs: 1, cost: 5 } })
+  assert.equal(queue.tryContinue('low', 5), true)
+  assert.equal(queue.tryContinue('low', 5), false)
+  const waiting = new FairQueue((team) => weights[team] as number, { burstCredit: 0, quantum: 10 })
+  fill(waiting, { low: { jobs: 1, cost: 5 } })
+  waiting.dequeue()
+  fill(waiting, { high: { jobs: 1, cost: 5 } })
+  assert.equal(waiting.tryContinue('low', 5), false)
+})
--- a/packages/stand-ins/src/lib/demo-fleet.ts
+++ b/packages/stand-ins/src/lib/demo-fleet.ts
@@ -194,7 +194,7 @@
     for (const [index, sidecar] of this.sidecars.entries()) {
       const [firstLayer, lastLayer] = this.options.stages[Math.floor(index / this.options.copies)] as readonly [number, number]
       document.endpoints[sidecar.name] = {
-        state: 'serving', dataCentre, model: demoModel, firstLayer, lastLayer, tokensPerSecond: 1000
+        state: 'serving', dataCentre, model: demoModel, firstLayer, lastLayer, tokensPerSecond: 100_000
       }
     }
     for (const worker of this.workers) document.endpoints[worker.name] = { state: 'serving', dataCentre, service: 'bookings' }
--- /dev/null
+++ b/packages/stand-ins/src/measure/table.ts
@@ -0,0 +1,30 @@
+/**
+ * Prints measurements as Markdown tables.
+ */
+
+/** A table of measurements. */
+export interface MeasuredTable {
+  title: string
+  /** How the figures came about: seed, sizes, what is compared. */
+  note: string
+  columns: string[]
+  rows: Array<Array<string | number>>
+}
+
+/** @returns the value at a quantile, from 0 to 1; 0 if there are no values */
+export const computeQuantile = (values: readonly number[], quantile: number): number => {
+  const sorted = [...values].sort((a, b) => a - b)
+  return sorted[Math.min(sorted.length - 1, Math.floor(quantile * sorted.length))] ?? 0
+}
+
+/** @returns the table as Markdown */
+export const formatTable = (table: MeasuredTable): string => [
+  `### ${table.title}`,
+  '',
+  table.note,
+  '',
+  `| ${table.columns.join(' | ')} |`,
+  `| ${table.columns.map(() => '---').join(' | ')} |`,
+  ...table.rows.map((row) => `| ${row.join(' | ')} |`),
+  ''
+].join('\n')
