Use endpoints again that a request lost earlier

Ruled out: the retry budget (no refusals counted) and the number of places. Conclusion: lost endpoints are used again only when no others are left.

--- a/packages/routing/src/lib/engine-executor.ts
+++ b/packages/routing/src/lib/engine-executor.ts
@@ -76,7 +76,7 @@
    * @param handleChunk - receives the outputs of each chunk, in order
    */
   async run (step: EngineStep, terms: StepTerms, handleChunk: (outputs: StageOutput[]) => void): Promise<void> {
-    const chunks = this.splitStep(step)
+    const chunks = this.createChunks(step)
     while (chunks.length > 0) {
       const runChunks = async (): Promise<void> => { await this.runWhileNext(chunks, terms, handleChunk) }
       if (terms.isSuspect) await this.suspects.add(async () => { await this.runAlone(runChunks) })
@@ -84,7 +84,7 @@
     }
   }
 
-  private splitStep (step: EngineStep): EngineStep[] {
+  private createChunks (step: EngineStep): EngineStep[] {
     const chunks: EngineStep[] = []
     for (let start = 0; start < step.rows.length; start += this.options.maxChunk) {
       const rows = step.rows.slice(start, start + this.options.maxChunk)
@@ -101,7 +101,7 @@
     for (let chunk = chunks.shift(); chunk !== undefined; chunk = chunks.shift()) {
       handleChunk(await this.runBounded(chunk, terms))
       const next = chunks[0]
-      if (next === undefined || this.fairQueue?.tryContinue(terms.team, computeCost(next)) !== true) return
+      if (next === undefined || this.fairQueue?.continueIfNext(terms.team, computeCost(next)) !== true) return
     }
   }
 
--- a/packages/routing/src/lib/fair-queue.ts
+++ b/packages/routing/src/lib/fair-queue.ts
@@ -110,7 +110,7 @@
    * @param cost - cost of the further work
    * @returns whether it may go on; the work is then charged to the team
    */
-  tryContinue (team: string, cost: number): boolean {
+  continueIfNext (team: string, cost: number): boolean {
     const next = this.findNextTeam()
     const own = this.backlogs.get(team)
     const virtualStart = own?.virtualStart ?? this.computeStart(team)
--- a/packages/routing/src/lib/model-graph.ts
+++ b/packages/routing/src/lib/model-graph.ts
@@ -29,10 +29,15 @@
   dataCentre: string
   /** Layer boundary after the branch. */
   boundary: number
-  /** Tokens a second that the maximum flow sends this way. */
+  /**
+   * Tokens a second that the maximum flow sends this way, and a little of the capacity besides, so that a way that the
+   * flow leaves out is found when others fail.
+   */
   flow: number
 }
 
+const spareShare = 0.02
+
 const source = 'source'
 const sink = 'sink'
 
@@ -57,7 +62,7 @@
     const graph = new FlowGraph()
     const dataCentres = [...new Set(endpoints.map((endpoint) => endpoint.dataCentre))]
     const boundaries = [...new Set(endpoints.map((endpoint) => endpoint.firstLayer))]
-    const pending: Array<{ node: string, edge: number, branch: Branch }> = []
+    const pending: Array<{ node: string, edge: number, capacity: number, branch: Branch }> = []
     for (const dataCentre of dataCentres) {
       graph.addEdge(source, formatNode(0, dataCentre), Infinity)
       graph.addEdge(formatNode(layers, dataCentre), sink, Infinity)
@@ -66,20 +71,21 @@
       const node = formatNode(endpoint.firstLayer, endpoint.dataCentre)
       const boundary = endpoint.lastLayer + 1
       const edge = graph.addEdge(node, formatNode(boundary, endpoint.dataCentre), endpoint.tokensPerSecond)
-      pending.push({ node, edge, branch: { endpoint, dataCentre: endpoint.dataCentre, boundary, flow: 0 } })
+      pending.push({ node, edge, capacity: endpoint.tokensPerSecond, branch: { endpoint, dataCentre: endpoint.dataCentre, boundary, flow: 0 } })
     }
     for (const boundary of boundaries.filter((value) => value > 0)) {
       for (const from of dataCentres) {
         for (const to of dataCentres.filter((name) => name !== from)) {
           const node = formatNode(boundary, from)
-          const edge = graph.addEdge(node, formatNode(boundary, to), linkCapacity(from, to))
-          pending.push({ node, edge, branch: { dataCentre: to, boundary, flow: 0 } })
+          const capacity = linkCapacity(from, to)
+          const edge = graph.addEdge(node, formatNode(boundary, to), capacity)
+          pending.push({ node, edge, capacity: 0, branch: { dataCentre: to, boundary, flow: 0 } })
         }
       }
     }
     this.maxTokensPerSecond = graph.computeMaxFlow(source, sink)
-    for (const { node, edge, branch } of pending) {
-      const flow = Math.max(0, graph.getFlow(edge))
+    for (const { node, edge, capacity, branch } of pending) {
+      const flow = Math.max(0, graph.getFlow(edge)) + spareShare * capacity
       const known = this.branches.get(node) ?? []
       this.branches.set(node, [...known, { ...branch, flow }])
     }
--- a/packages/routing/src/lib/pipeline-run.ts
+++ b/packages/routing/src/lib/pipeline-run.ts
@@ -339,7 +339,7 @@
       this.fail(kind, `gave up after replacing stages ${this.options.maxReplacements} times; last cause: ${cause}`)
       return
     }
-    const replaced = lost.map((stage) => this.source.pickReplacement(stage.endpoint, this.excluded))
+    const replaced = lost.map((stage) => this.pickReplacement(stage, lost))
     if (replaced.some((endpoint) => endpoint === undefined)) {
       this.restart(cause, kind)
       return
@@ -353,6 +353,13 @@
     this.waitForAnswers()
   }
 
+  /** Picks an endpoint that this run has not lost; if there is none, one that it has lost earlier and that may be back. */
+  private pickReplacement (stage: Stage, lost: readonly Stage[]): StageEndpoint | undefined {
+    const justLost = new Set([...this.crashed, ...lost.map((other) => other.endpoint.name)])
+    return this.source.pickReplacement(stage.endpoint, this.excluded) ??
+      this.source.pickReplacement(stage.endpoint, justLost)
+  }
+
   private reroute (stage: Stage): void {
     stage.isAnswered = false
     const next = this.getNextHop(stage) ?? null
@@ -363,7 +370,7 @@
   private restart (cause: string, kind: ErrorKind = ErrorKind.endpointFailed): void {
     for (const stage of this.stages) this.sendClose(stage)
     const held = new Set([...this.excluded, ...this.stages.map((stage) => stage.endpoint.name)])
-    const endpoints = this.source.pick(held) ?? this.source.pick(this.excluded)
+    const endpoints = this.source.pick(held) ?? this.source.pick(this.excluded) ?? this.source.pick(this.crashed)
     if (endpoints === undefined) {
       this.stages = []
       this.fail(kind === ErrorKind.endpointFailed ? ErrorKind.noCapacity : kind, `no other pipeline is left: ${cause}`)
--- /dev/null
+++ b/packages/routing/src/test/pipeline-run_test.ts
@@ -0,0 +1,93 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { ErrorKind, getErrorKind, getErrorOutcome, ManualClock, Outcome } from '@clementineloft/kernel'
+import { PipelineRun, RetryBudget, RunListener, StagePort, StageSource } from '@clementineloft/routing'
+import type { Frame, StageEndpoint, Token } from '@clementineloft/routing'
+
+const createEndpoint = (name: string): StageEndpoint =>
+  ({ name, address: name, dataCentre: 'd', model: 'm', firstLayer: 0, lastLayer: 0, tokensPerSecond: 1 })
+
+const copies = [createEndpoint('a'), createEndpoint('b')]
+
+class FakeSource extends StageSource {
+  override pick (excluded: ReadonlySet<string>): StageEndpoint[] | undefined {
+    const endpoint = copies.find((copy) => !excluded.has(copy.name))
+    return endpoint === undefined ? undefined : [endpoint]
+  }
+
+  override pickReplacement (_: StageEndpoint, excluded: ReadonlySet<string>): StageEndpoint | undefined {
+    return this.pick(excluded)?.[0]
+  }
+}
+
+class FakePort extends StagePort {
+  readonly opened: string[] = []
+  attempt = 0
+
+  override send (endpoint: StageEndpoint, frame: Frame): void {
+    if (frame.open == null) return
+    this.opened.push(endpoint.name)
+    this.attempt = frame.open.attempt
+  }
+}
+
+class Recorder extends RunListener {
+  error: unknown
+  readonly crashes: string[] = []
+
+  override handleToken (_: Token): void {}
+
+  override handleDone (): void {}
+
+  override handleFailed (error: Error): void { this.error = error }
+
+  override handleReplaced (): void {}
+
+  override handleCrash (endpoint: string): void { this.crashes.push(endpoint) }
+}
+
+const createRun = (retries = 100, deadlineMs = 0) => {
+  const clock = new ManualClock()
+  const port = new FakePort()
+  const recorder = new Recorder()
+  const request = { request: 'r', team: 't', model: 'm', prompt: 'p', fingerprint: 'f', isSuspect: false, maxTokens: 5, deadlineMs }
+  const options = { openTimeoutMs: 300, stallMs: 300, probeTimeoutMs: 200, maxReplacements: 12, maxCrashes: 2 }
+  const run = new PipelineRun(request, new FakeSource(), port, recorder, clock, options, new RetryBudget(0, retries))
+  run.start()
+  return { run, clock, port, recorder }
+}
+
+const refuse = (port: FakePort, kind: ErrorKind): Frame =>
+  ({ refused: { request: 'r', attempt: port.attempt, stage: 0, kind, message: 'refused' } })
+
+test('an endpoint that was lost earlier is used again when no other is left', () => {
+  const { run, port, recorder } = createRun()
+  for (const name of ['a', 'b', 'a']) run.handleLost(name, 'link lost')
+  assert.deepEqual(port.opened, ['a', 'b', 'a', 'b'])
+  assert.equal(recorder.error, undefined)
+})
+
+test('refusals are retried within the budget, and the caller is told that nothing ran', () => {
+  const { run, port, recorder } = createRun(1)
+  run.handleFrame('a', refuse(port, ErrorKind.overloaded))
+  run.handleFrame('b', refuse(port, ErrorKind.overloaded))
+  assert.equal(getErrorKind(recorder.error), ErrorKind.overloaded)
+  assert.equal(getErrorOutcome(recorder.error), Outcome.notRun)
+})
+
+test('a request that crashes two endpoints is given up, and a third is not tried', () => {
+  const { run, port, recorder } = createRun()
+  for (const name of ['a', 'b']) {
+    const failed = { request: 'r', attempt: port.attempt, stage: 0, kind: ErrorKind.endpointFailed, message: 'crash', culprit: name }
+    run.handleFrame(name, { failed })
+  }
+  assert.deepEqual(recorder.crashes, ['a', 'b'])
+  assert.equal(getErrorKind(recorder.error), ErrorKind.quarantined)
+  assert.deepEqual(port.opened, ['a', 'b'])
+})
+
+test('a deadline ends a run that nobody answers', () => {
+  const { clock, recorder } = createRun(100, 1000)
+  clock.advance(1000)
+  assert.equal(getErrorKind(recorder.error), ErrorKind.deadline)
+})
--- a/packages/stand-ins/src/faults/stream-faults.ts
+++ b/packages/stand-ins/src/faults/stream-faults.ts
@@ -219,7 +219,8 @@
       const right = answers.filter((answer, index) => isCorrect(answer, prompts[index] as string, fleet.layers, maxTokens)).length
       const failed = answers.filter((answer) => answer.error !== undefined).length
       const mixed = answers.length - right - failed
-      return { isKept: mixed === 0 && failed === 0, seen: `${right} right, ${failed} failed openly, ${mixed} wrong`, recoveryMs: answers.map(computeLongestGap) }
+      const reason = answers.find((answer) => answer.error !== undefined)?.error ?? ''
+      return { isKept: mixed === 0 && failed === 0, seen: `${right} right, ${failed} failed openly, ${mixed} wrong ${reason}`, recoveryMs: answers.map(computeLongestGap) }
     }
   }
 ]
--- a/packages/stand-ins/src/measure/fluid-pipelines.ts
+++ b/packages/stand-ins/src/measure/fluid-pipelines.ts
@@ -78,11 +78,11 @@
       const isMeasured = this.now >= warmUp
       this.moveFromDown()
       for (due += offered / meanTokens * stepSeconds; due >= 1; due--) {
-        const isAdmitted = this.admit()
+        const isAdmitted = this.acceptRequest()
         if (isMeasured) arrived++
         if (isMeasured && !isAdmitted) refused++
       }
-      this.shareRates()
+      this.computeRates()
       for (const flow of this.flows) {
         const tokens = Math.min(flow.left, flow.rate * stepSeconds)
         flow.left -= tokens
@@ -113,7 +113,7 @@
     return this.getHeld(endpoint.name) + 1 <= endpoint.tokensPerSecond * tokenIntervalSeconds
   }
 
-  private admit (): boolean {
+  private acceptRequest (): boolean {
     const { graph, meanTokens } = this.options
     const entry = this.random.pickInteger(this.options.entries)
     const excluded = new Set<string>()
@@ -192,7 +192,7 @@
   }
 
   /** Raises all rates until some endpoint or link of each request is full. */
-  private shareRates (): void {
+  private computeRates (): void {
     for (const flow of this.flows) flow.rate = maxTokensPerSecond
     for (let round = 0; round < sharingRounds; round++) {
       const used = new Map<string, number>()
--- a/packages/stand-ins/src/measure/measure-fairness.ts
+++ b/packages/stand-ins/src/measure/measure-fairness.ts
@@ -19,7 +19,7 @@
   abstract add (run: Run, team: string, cost: number): void
   abstract take (): Run | undefined
   /** Whether a prompt may go on with its next chunk without queueing again. */
-  tryContinue (_team: string, _cost: number): boolean {
+  continueIfNext (_team: string, _cost: number): boolean {
     return false
   }
 }
@@ -69,8 +69,8 @@
 
 /** The router's own: a prompt goes on while its team is next. */
 class ContinuingQueue extends WeightedQueue {
-  override tryContinue (team: string, cost: number): boolean {
-    return this.queue.tryContinue(team, cost)
+  override continueIfNext (team: string, cost: number): boolean {
+    return this.queue.continueIfNext(team, cost)
   }
 }
 
@@ -102,7 +102,7 @@
 }
 
 /** Serves prompts in chunks on a few slots of an engine, event by event. */
-const simulate = (queue: MeasuredQueue, teams: readonly TeamLoad[], chunkRows: number): Outcome => {
+const runQueue = (queue: MeasuredQueue, teams: readonly TeamLoad[], chunkRows: number): Outcome => {
   const random = new SeededRandom(seed)
   const waits = new Map<string, number[]>(teams.map((team) => [team.name, []]))
   const served = new Map<string, number>(teams.map((team) => [team.name, 0]))
@@ -129,7 +129,7 @@
   const finish = (slot: number, chunk: RunningChunk): void => {
     busy[slot] = undefined
     if (chunk.left === 0) waits.get(chunk.team.name)?.push((chunk.endsAt - chunk.arrivedAt) * 1000)
-    else if (queue.tryContinue(chunk.team.name, Math.min(chunkRows, chunk.left))) start(slot, chunk, chunk.endsAt)
+    else if (queue.continueIfNext(chunk.team.name, Math.min(chunkRows, chunk.left))) start(slot, chunk, chunk.endsAt)
     else enqueue(chunk.team, chunk.arrivedAt, chunk.left)
   }
   let next = 0
@@ -173,7 +173,7 @@
   ]
 }
 
-const collectP95 = (outcome: Outcome, teams: readonly TeamLoad[]): number =>
+const computeP95 = (outcome: Outcome, teams: readonly TeamLoad[]): number =>
   computeQuantile(teams.flatMap((team) => outcome.waits.get(team.name) ?? []), 0.95)
 
 /** Measures how far a flood and a burst move the waiting time of paying teams. */
@@ -181,10 +181,10 @@
   const rows: Array<Array<string | number>> = []
   for (const count of [10, 710]) {
     const teams = createTeams(count)
-    const quiet = createQueues(teams).map(([, queue, chunk]) => collectP95(simulate(queue, teams, chunk), teams))
+    const quiet = createQueues(teams).map(([, queue, chunk]) => computeP95(runQueue(queue, teams, chunk), teams))
     for (const [kind, extra] of [['unpaid flood of long prompts', flood], ['burst of a rival of equal terms', burst]] as const) {
       createQueues([...teams, extra]).forEach(([name, queue, chunk], index) => {
-        const loaded = collectP95(simulate(queue, [...teams, extra], chunk), teams)
+        const loaded = computeP95(runQueue(queue, [...teams, extra], chunk), teams)
         const before = quiet[index] as number
         rows.push([count, kind, name, before.toFixed(0), loaded.toFixed(0), `${(100 * (loaded / before - 1)).toFixed(0)}%`])
       })
@@ -204,7 +204,7 @@
   const teams = weights.map((weight, index): TeamLoad => ({ name: `team-${index}`, weight, rate: 8 * (index % 2 === 0 ? 1 : 4), rows: index % 2 === 0 ? 1600 : 400 }))
   const total = weights.reduce((sum, weight) => sum + weight, 0)
   const rows = createQueues(teams).map(([name, queue, chunk]) => {
-    const { served } = simulate(queue, teams, chunk)
+    const { served } = runQueue(queue, teams, chunk)
     const all = [...served.values()].reduce((sum, value) => sum + value, 0)
     const shares = teams.map((team) => (served.get(team.name) as number) / all)
     const worst = Math.max(...shares.map((share, index) => Math.abs(share / ((weights[index] as number) / total) - 1)))
--- a/packages/stand-ins/src/measure/measure-overload.ts
+++ b/packages/stand-ins/src/measure/measure-overload.ts
@@ -42,7 +42,7 @@
 }
 
 /** Offers a load for a minute; callers of refused requests come back once. */
-const simulate = (way: Way, load: number, failedFrom?: number): Outcome => {
+const runLoad = (way: Way, load: number, failedFrom?: number): Outcome => {
   const random = new SeededRandom(seed)
   const budget = new RetryBudget(0.2, 50)
   const admissions = Array.from({ length: endpoints }, () => new Admission(() => places, (team) => way.hasTerms ? freeFactors[team] as number : Infinity))
@@ -55,7 +55,7 @@
   let completed = 0
   const held = new Array<number>(endpoints).fill(0)
   const pickBetter = (first: number, second: number): number => (held[second] as number) < (held[first] as number) ? second : first
-  const tryStart = (team: string, isFresh: boolean, now: number): void => {
+  const startSomewhere = (team: string, isFresh: boolean, now: number): void => {
     for (let attempt = 0; attempt <= way.maxRetries; attempt++) {
       if (attempt > 0 && way.hasBudget && !budget.take()) break
       const up = failedFrom !== undefined && now > failedFrom ? endpoints / 2 : endpoints
@@ -77,9 +77,9 @@
     for (let due = load * capacity * stepSeconds; due > random.next(); due--) {
       const team = random.pickItem(classes)
       arrived.set(team, (arrived.get(team) as number) + 1)
-      tryStart(team, true, now)
+      startSomewhere(team, true, now)
     }
-    while ((returning[0]?.at ?? Infinity) <= now) tryStart((returning.shift() as { team: string }).team, false, now)
+    while ((returning[0]?.at ?? Infinity) <= now) startSomewhere((returning.shift() as { team: string }).team, false, now)
     for (let index = running.length - 1; index >= 0; index--) {
       const work = running[index] as { endpoint: number, team: string, left: number }
       const slow = Math.min(1, (spentOnRefusals[work.endpoint] as number) / places / stepSeconds)
@@ -102,11 +102,11 @@
 /** Measures loads from half of the capacity to four times it, and the loss of half of the endpoints. */
 export const measureOverload = (): MeasuredTable => {
   const rows = ways.flatMap((way) => [0.5, 1, 2, 4].map((load) => {
-    const { goodput, amplification, servedShare } = simulate(way, load)
+    const { goodput, amplification, servedShare } = runLoad(way, load)
     return [way.name, load, `${(100 * goodput).toFixed(0)}%`, amplification.toFixed(2), ...classes.map((name) => `${(100 * (servedShare.get(name) as number)).toFixed(0)}%`)]
   }))
   const failed = ways.map((way) => {
-    const { goodput, amplification, servedShare } = simulate(way, 0.9, 20)
+    const { goodput, amplification, servedShare } = runLoad(way, 0.9, 20)
     return [way.name, '0.9, half lost at 20 s', `${(100 * goodput).toFixed(0)}%`, amplification.toFixed(2), ...classes.map((name) => `${(100 * (servedShare.get(name) as number)).toFixed(0)}%`)]
   })
   return {
