Measure the path of a token; keep a subset of endpoints in each entry

Cause: 390 entries with a link to each of 650 sidecars do not fit the memory budget, and the cost of the data path was unknown. Before: all endpoints linked, no figures.

--- a/packages/clementineloft/src/lib/endpoint-directory.ts
+++ b/packages/clementineloft/src/lib/endpoint-directory.ts
@@ -1,6 +1,7 @@
 /**
  * The endpoints as one entry sees them: configuration, instance list, and what it has seen fail.
  */
+import { rankCandidates } from '@clementineloft/coordination'
 import type { Membership } from '@clementineloft/coordination'
 import type { Clock } from '@clementineloft/kernel'
 import { ModelGraph } from '@clementineloft/routing'
@@ -23,9 +24,17 @@
   private graphs = new Map<string, ModelGraph>()
   private services = new Map<string, ServiceEndpoint[]>()
   private document: ConfigDocument | undefined
+  /** Model endpoints that this entry uses, so that it keeps few links. */
+  private subset = new Set<string>()
   private readonly avoidedUntilMs = new Map<string, number>()
 
+  /**
+   * @param owner - name of this entry; entries choose different subsets
+   * @param endpointsPerStage - endpoints that this entry uses of each range of layers
+   */
   constructor (
+    private readonly owner: string,
+    private readonly endpointsPerStage: number,
     private readonly membership: Membership,
     private readonly clock: Clock
   ) {
@@ -44,8 +53,11 @@
     if (document === undefined) return
     this.graphs = new Map()
     this.services = new Map()
+    this.subset = new Set()
     for (const [model, { layers }] of Object.entries(document.models)) {
-      this.graphs.set(model, new ModelGraph(layers, this.listStages(document, model), (from, to) => this.getLinkCapacity(from, to)))
+      const stages = this.listStages(document, model)
+      this.graphs.set(model, new ModelGraph(layers, stages, (from, to) => this.getLinkCapacity(from, to)))
+      this.addToSubset(stages)
     }
     for (const service of Object.keys(document.services)) this.services.set(service, this.listWorkers(document, service))
   }
@@ -75,6 +87,11 @@
     return this.document?.endpoints[name]?.state === 'serving' && this.membership.isServing(name)
   }
 
+  /** @returns whether a model endpoint is one of those that this entry uses */
+  isInSubset (name: string): boolean {
+    return this.subset.has(name)
+  }
+
   /** @returns whether an endpoint has failed a moment ago */
   isAvoided (name: string): boolean {
     return (this.avoidedUntilMs.get(name) ?? 0) > this.clock.now()
@@ -95,6 +112,17 @@
     return new Set(names.filter((name) => this.membership.find(name) !== undefined))
   }
 
+  private addToSubset (stages: readonly StageEndpoint[]): void {
+    const groups = new Map<string, string[]>()
+    for (const { name, firstLayer, lastLayer } of stages) {
+      const range = `${firstLayer}-${lastLayer}`
+      groups.set(range, [...groups.get(range) ?? [], name])
+    }
+    for (const names of groups.values()) {
+      for (const name of rankCandidates(this.owner, names).slice(0, this.endpointsPerStage)) this.subset.add(name)
+    }
+  }
+
   private listStages (document: ConfigDocument, model: string): StageEndpoint[] {
     return Object.entries(document.endpoints).flatMap(([name, endpoint]): StageEndpoint[] => {
       const instance = this.membership.find(name)
--- a/packages/clementineloft/src/lib/entry.ts
+++ b/packages/clementineloft/src/lib/entry.ts
@@ -35,7 +35,7 @@
     const { replica, membership, clock } = context
     const { runs, callers } = settings
     this.runtime = new NodeRuntime(context, createPlainCredentials())
-    this.directory = new EndpointDirectory(membership, clock)
+    this.directory = new EndpointDirectory(settings.instance.name, runs.endpoints_per_stage, membership, clock)
     this.runs = new RunManager(this.runtime, this.directory, {
       openTimeoutMs: runs.open_timeout_ms,
       stallMs: runs.stall_ms,
--- a/packages/clementineloft/src/lib/run-manager.ts
+++ b/packages/clementineloft/src/lib/run-manager.ts
@@ -31,7 +31,10 @@
     return this.pickPreferred(excluded, (graph, isUsable) => this.picker.pickReplacement(graph, replaced, isUsable))
   }
 
-  /** Picks among endpoints that have not failed a moment ago, and among all that serve if those do not suffice. */
+  /**
+   * Picks among the endpoints that this entry uses and that have not failed a moment ago; if those do not suffice, among
+   * all that have not, and at last among all that serve.
+   */
   private pickPreferred<T> (
     excluded: ReadonlySet<string>,
     pick: (graph: ModelGraph, isUsable: (name: string) => boolean) => T | undefined
@@ -39,7 +42,10 @@
     const graph = this.findGraph()
     if (graph === undefined) return undefined
     const isServing = (name: string): boolean => !excluded.has(name) && this.directory.isServing(name)
-    return pick(graph, (name) => isServing(name) && !this.directory.isAvoided(name)) ?? pick(graph, isServing)
+    const isHealthy = (name: string): boolean => isServing(name) && !this.directory.isAvoided(name)
+    return pick(graph, (name) => isHealthy(name) && this.directory.isInSubset(name)) ??
+      pick(graph, isHealthy) ??
+      pick(graph, isServing)
   }
 }
 
--- a/packages/clementineloft/src/lib/settings-schema.ts
+++ b/packages/clementineloft/src/lib/settings-schema.ts
@@ -22,7 +22,7 @@
   store_url: url.describe('object API'),
   list_url: url.describe('list of instances'),
   timeout_ms: milliseconds.default(2000).describe('time-out of a call, in milliseconds'),
-  list_interval_ms: milliseconds.default(2000).describe('time between two reads of the instance list, in milliseconds')
+  list_interval_ms: milliseconds.default(5000).describe('time between two reads of the instance list, in milliseconds')
 }).describe('The platform')
 
 const tls = z.strictObject({
@@ -68,6 +68,7 @@
   stall_ms: milliseconds.default(700).describe('silence after which stages are probed, in milliseconds'),
   probe_timeout_ms: milliseconds.default(600).describe('time a stage has to answer a probe, in milliseconds'),
   max_replacements: count.default(8).describe('times that stages of one request may be replaced'),
+  endpoints_per_stage: count.default(8).describe('endpoints of each range of layers that this entry uses while they suffice'),
   max_crashes: count.default(2).describe('endpoints that one request may crash before it is refused')
 }).describe('Pipelines')
 
--- a/packages/stand-ins/src/lib/demo-fleet.ts
+++ b/packages/stand-ins/src/lib/demo-fleet.ts
@@ -28,6 +28,8 @@
   bookingMs: number
   /** Grace period of a shutdown, in milliseconds. */
   graceMs?: number
+  /** Whether a relay stands before each sidecar, to cut its link; true unless given. */
+  hasRelays?: boolean
 }
 
 /** Addresses of one process. */
@@ -175,6 +177,7 @@
   }
 
   private startRelay (name: string, address: string): string {
+    if (this.options.hasRelays === false) return address
     const port = this.takePort()
     this.relays.set(name, new Relay(port, Number(address.split(':')[1])))
     return `${host}:${port}`
--- a/packages/stand-ins/src/measure.ts
+++ b/packages/stand-ins/src/measure.ts
@@ -4,6 +4,7 @@
 import { measureShares, measureWaiting } from './measure/measure-fairness.js'
 import { measureOverload } from './measure/measure-overload.js'
 import { measurePicking } from './measure/measure-picking.js'
+import { measurePath, measurePathCostTable } from './measure/measure-path.js'
 import { formatTable } from './measure/table.js'
 import type { MeasuredTable } from './measure/table.js'
 
@@ -11,7 +12,9 @@
   picking: measurePicking,
   waiting: measureWaiting,
   shares: measureShares,
-  overload: measureOverload
+  overload: measureOverload,
+  path: measurePath,
+  cost: measurePathCostTable
 }
 
 const wanted = process.argv.slice(2)
