Compare configurations with kept neighbours; measure spread, claims, slopes

Cause: comparing with a new random peer each time cost 560 bytes and 8.3 ms of processor time for a connection, and claims with a write every 5 ms for each key range cost 1634 store writes a second at 1000 calls a second, over the limit. Ways weighed: a watch for each process (1040 waiting watches), a random peer each time, six kept neighbours (chosen); a create for each call 2000 writes/s, ranges at 80 ms 219 writes/s (chosen), tickets 0. Conclusion: the writes follow the budget of the service (claimWritesPerSecond, 200 unless set).

--- a/packages/clementineloft/src/lib/config-document.ts
+++ b/packages/clementineloft/src/lib/config-document.ts
@@ -28,7 +28,9 @@
   /** Methods whose repetition does no harm. */
   idempotentMethods: z.array(z.string()),
   /** Number of key ranges, each owned by one endpoint at a time. */
-  keyRanges: z.int().min(1).max(1024)
+  keyRanges: z.int().min(1).max(1024),
+  /** Most store writes a second for claims on keys, over all endpoints of the service. */
+  claimWritesPerSecond: z.number().positive().optional()
 })
 
 const linkSchema = z.strictObject({ from: z.string(), to: z.string(), tokensPerSecond: z.number().positive() })
--- a/packages/clementineloft/src/lib/node-runtime.ts
+++ b/packages/clementineloft/src/lib/node-runtime.ts
@@ -48,7 +48,7 @@
       self, replica, this.configRecord, membership, this.transport, clock, random,
       {
         exchangeIntervalMs: spread.exchange_interval_ms,
-        fanout: spread.fanout,
+        neighbours: spread.neighbours,
         watchersPerDataCentre: spread.watchers_per_data_centre
       },
       (message) => { this.noteStoreFault(message) }
@@ -106,6 +106,7 @@
     log.info({ event: 'stopped', left: countInFlight() })
     this.isStopped = true
     this.spread.stop()
+    this.transport.close()
     this.server.forceShutdown()
     this.admin.close()
   }
--- a/packages/clementineloft/src/lib/peer-service.ts
+++ b/packages/clementineloft/src/lib/peer-service.ts
@@ -12,9 +12,12 @@
 import { UnaryClient } from './unary-client.js'
 
 const exchangeTimeoutMs = 2000
+const maxConnections = 16
 
-/** Calls peers over short-lived connections, so that no process keeps a connection to every other. */
+/** Calls peers over kept connections, of which the least used are closed, so that no process has one to every other. */
 export class GrpcPeerTransport extends PeerTransport<ConfigDocument> {
+  private readonly clients = new Map<string, UnaryClient>()
+
   constructor (
     private readonly context: ProcessContext,
     private readonly channelCredentials: ChannelCredentials
@@ -43,16 +46,34 @@
    * @param crashesJson - crash reports for the peer as JSON; empty for none
    */
   async callPeer (address: string, crashesJson: string): Promise<ConfigUpdate<ConfigDocument>> {
-    const client = new UnaryClient(address, this.channelCredentials)
+    const client = this.getClient(address)
     this.context.metrics.count('peer_exchanges_total')
-    try {
-      const message = { header: this.context.createHeader(), crashesJson }
-      const reply = await client.call(peerService.exchange, message, exchangeTimeoutMs)
-      this.context.mergeHeader(reply.header)
-      return reply.updateJson === '' ? {} : JSON.parse(reply.updateJson) as ConfigUpdate<ConfigDocument>
-    } finally {
-      client.close()
-    }
+    const message = { header: this.context.createHeader(), crashesJson }
+    const reply = await client.call(peerService.exchange, message, exchangeTimeoutMs)
+    this.context.mergeHeader(reply.header)
+    return reply.updateJson === '' ? {} : JSON.parse(reply.updateJson) as ConfigUpdate<ConfigDocument>
+  }
+
+  /** Closes all connections. */
+  close (): void {
+    for (const client of this.clients.values()) client.close()
+    this.clients.clear()
+  }
+
+  private getClient (address: string): UnaryClient {
+    const client = this.clients.get(address) ?? new UnaryClient(address, this.channelCredentials)
+    this.clients.delete(address)
+    this.clients.set(address, client)
+    const [oldest] = this.clients.keys()
+    if (this.clients.size > maxConnections && oldest !== undefined) this.retire(oldest)
+    return client
+  }
+
+  /** Closes a connection once a call that may still use it has ended. */
+  private retire (address: string): void {
+    const client = this.clients.get(address)
+    this.clients.delete(address)
+    this.context.clock.schedule(exchangeTimeoutMs, () => { client?.close() })
   }
 }
 
--- a/packages/clementineloft/src/lib/service-sidecar.ts
+++ b/packages/clementineloft/src/lib/service-sidecar.ts
@@ -17,8 +17,9 @@
 import type { PlainService, ServiceAnswer, ServiceCall } from './plain-service.js'
 import type { SidecarSettings } from './settings-schema.js'
 
-const claimWriteIntervalMs = 5
 const defaultKeyRanges = 16
+const defaultClaimWritesPerSecond = 200
+const millisecondsPerSecond = 1000
 
 type ServiceSettings = NonNullable<SidecarSettings['service']>
 
@@ -97,6 +98,7 @@
     const document = context.replica.getDocument()
     const service = document?.endpoints[this.endpoint]?.service ?? ''
     const keyRanges = document?.services[service]?.keyRanges ?? defaultKeyRanges
+    const writesPerSecond = document?.services[service]?.claimWritesPerSecond ?? defaultClaimWritesPerSecond
     const storeKey = `claims/${service}/${computeHash32(scopedKey) % keyRanges}`
     const known = this.ranges.get(storeKey)
     if (known !== undefined) return known
@@ -104,7 +106,7 @@
       holder: this.endpoint,
       incarnation: context.incarnation,
       retentionMs: this.settings.retention_ms,
-      writeIntervalMs: claimWriteIntervalMs
+      writeIntervalMs: millisecondsPerSecond * keyRanges / writesPerSecond
     })
     this.ranges.set(storeKey, range)
     return range
--- a/packages/clementineloft/src/lib/settings-schema.ts
+++ b/packages/clementineloft/src/lib/settings-schema.ts
@@ -32,8 +32,8 @@
 }).describe('Mutual TLS between processes; without this table they speak plain text')
 
 const spread = z.strictObject({
-  exchange_interval_ms: milliseconds.default(3000).describe('time between two comparisons with a random peer, in milliseconds'),
-  fanout: count.default(3).describe('peers told at once of a newer revision'),
+  exchange_interval_ms: milliseconds.default(2000).describe('time between two comparisons with a neighbour, in milliseconds'),
+  neighbours: count.default(6).describe('peers that a process compares with, over kept connections'),
   watchers_per_data_centre: count.default(2).describe('processes of a data centre that watch the store')
 }).describe('Spreading of the configuration')
 
--- a/packages/coordination/src/lib/claim-range.ts
+++ b/packages/coordination/src/lib/claim-range.ts
@@ -14,7 +14,7 @@
 import { StoreRecord } from './store-record.js'
 import type { RecordState } from './store-record.js'
 
-const maxTailBytes = 65_536
+const maxTailBytes = 16_384
 const maxConflicts = 4
 const writeBehindMs = 200
 const retryMs = 1000
--- a/packages/coordination/src/lib/config-spread.ts
+++ b/packages/coordination/src/lib/config-spread.ts
@@ -1,9 +1,10 @@
 /**
  * Spreads the configuration between processes.
  *
- * A few processes in each data centre watch the store; all others hear from their peers. Whoever learns of a newer
- * revision tells a few peers at once, and everyone compares revisions with a random peer at a steady pace. A change
- * therefore spreads while the store is down, and a new process gets the configuration from any peer.
+ * A few processes in each data centre watch the store; all others hear from their peers. Every process has a few random
+ * neighbours, so that connections can be kept. Whoever learns of a newer revision tells its neighbours at once, and
+ * everyone compares revisions with one of them at a steady pace. A change therefore spreads while the store is down, and
+ * a new process gets the configuration from any peer.
  */
 import { getErrorMessage } from '@clementineloft/kernel'
 import type { Clock, RandomSource } from '@clementineloft/kernel'
@@ -20,8 +21,8 @@
 export interface SpreadOptions {
   /** Time between two comparisons with a random peer, in milliseconds. */
   exchangeIntervalMs: number
-  /** How many peers are told at once of a newer revision. */
-  fanout: number
+  /** How many peers a process compares with; each is replaced when it does not answer. */
+  neighbours: number
   /** How many processes of a data centre watch the store. */
   watchersPerDataCentre: number
 }
@@ -41,6 +42,7 @@
 export class ConfigSpread<T extends object> {
   private isStopped = false
   private storeVersion = 0
+  private neighbours: Instance[] = []
 
   /**
    * @param self - name and data centre of this instance
@@ -61,7 +63,7 @@
 
   /** Starts the comparisons and, where it falls to this process, the watch. */
   start (): void {
-    this.replica.subscribe(() => { void this.tellPeers() })
+    this.replica.subscribe(() => { this.tellNeighbours() })
     void this.runExchanges()
     void this.runWatch()
   }
@@ -80,26 +82,32 @@
     try {
       this.replica.apply(await this.transport.exchange(peer, this.replica.getRevision()))
     } catch {
-      // A peer that does not answer is skipped; the next comparison goes to another.
+      this.neighbours = this.neighbours.filter((neighbour) => neighbour.name !== peer.name)
     }
   }
 
-  private listPeers (): Instance[] {
-    return this.membership.list().filter((instance) => instance.name !== this.self.name)
+  /** Keeps neighbours that still exist and adds random instances in place of those that are gone. */
+  private listNeighbours (): Instance[] {
+    const kept = this.neighbours.filter((neighbour) => this.membership.find(neighbour.name)?.address === neighbour.address)
+    const names = new Set([this.self.name, ...kept.map((neighbour) => neighbour.name)])
+    const others = kept.length < this.options.neighbours
+      ? this.membership.list().filter((instance) => !names.has(instance.name))
+      : []
+    while (kept.length < this.options.neighbours && others.length > 0) {
+      kept.push(...others.splice(this.random.pickInteger(others.length), 1))
+    }
+    this.neighbours = kept
+    return kept
   }
 
-  private async tellPeers (): Promise<void> {
-    const peers = this.listPeers()
-    for (let told = 0; told < this.options.fanout && peers.length > 0; told++) {
-      const [peer] = peers.splice(this.random.pickInteger(peers.length), 1)
-      void this.exchangeWith(peer as Instance)
-    }
+  private tellNeighbours (): void {
+    for (const neighbour of this.listNeighbours()) void this.exchangeWith(neighbour)
   }
 
   private async runExchanges (): Promise<void> {
     while (!this.isStopped) {
-      const peers = this.listPeers()
-      if (peers.length > 0) await this.exchangeWith(this.random.pickItem(peers))
+      const neighbours = this.listNeighbours()
+      if (neighbours.length > 0) await this.exchangeWith(this.random.pickItem(neighbours))
       const hasConfig = this.replica.getRevision() > 0
       const jitter = 0.5 + this.random.next()
       await this.clock.wait((hasConfig ? this.options.exchangeIntervalMs : watchRetryMinMs / 4) * jitter)
--- a/packages/stand-ins/src/lib/demo-fleet.ts
+++ b/packages/stand-ins/src/lib/demo-fleet.ts
@@ -28,6 +28,8 @@
   bookingMs: number
   /** Grace period of a shutdown, in milliseconds. */
   graceMs?: number
+  /** Time between two reads of the instance list, in milliseconds; 500 unless given, so that tests are quick. */
+  listIntervalMs?: number
   /** Whether a relay stands before each sidecar, to cut its link; true unless given. */
   hasRelays?: boolean
 }
@@ -53,6 +55,7 @@
 const host = '127.0.0.1'
 const dataCentre = 'saskatoon'
 const defaultGraceMs = 20_000
+const defaultListIntervalMs = 500
 
 /** @returns ports that were free a moment ago */
 const findPorts = async (count: number): Promise<number[]> => {
@@ -168,7 +171,7 @@
     writeFileSync(join(this.options.folder, `${name}.toml`), [
       `role = "${role}"\n`,
       `[instance]\nname = "${name}"\ndata_centre = "${dataCentre}"\naddress = "${address}"\nadmin_address = "${admin}"\n`,
-      `[platform]\nstore_url = "${this.platformUrl}"\nlist_url = "${this.platformUrl}"\nlist_interval_ms = 500\n`,
+      `[platform]\nstore_url = "${this.platformUrl}"\nlist_url = "${this.platformUrl}"\nlist_interval_ms = ${this.options.listIntervalMs ?? defaultListIntervalMs}\n`,
       `[shutdown]\ngrace_ms = ${this.options.graceMs ?? defaultGraceMs}\n`,
       beside
     ].join('\n'))
--- a/packages/stand-ins/src/measure.ts
+++ b/packages/stand-ins/src/measure.ts
@@ -1,10 +1,12 @@
 /**
  * Prints measurements. `measure.js NAME…` runs only those named.
  */
+import { measureClaims } from './measure/measure-claims.js'
 import { measureShares, measureWaiting } from './measure/measure-fairness.js'
 import { measureOverload } from './measure/measure-overload.js'
 import { measurePicking } from './measure/measure-picking.js'
 import { measurePath, measurePathCostTable } from './measure/measure-path.js'
+import { measureSpread } from './measure/measure-spread.js'
 import { formatTable } from './measure/table.js'
 import type { MeasuredTable } from './measure/table.js'
 
@@ -13,6 +15,8 @@
   waiting: measureWaiting,
   shares: measureShares,
   overload: measureOverload,
+  claims: measureClaims,
+  spread: measureSpread,
   path: measurePath,
   cost: measurePathCostTable
 }
--- /dev/null
+++ b/packages/stand-ins/src/measure/capacity-slopes.ts
@@ -0,0 +1,273 @@
+/**
+ * Slopes of control and data path, measured on the real code with small stand-ins of the peers.
+ */
+import { mkdtempSync } from 'node:fs'
+import { connect, createServer } from 'node:net'
+import type { Server, Socket } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { spawn } from 'node:child_process'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
+import { ConfigReplica, createNextSnapshot, Membership } from '@clementineloft/coordination'
+import type { ConfigSnapshot, Instance } from '@clementineloft/coordination'
+import { computeDigest, ManualClock } from '@clementineloft/kernel'
+import { createPlainCredentials, EndpointDirectory, GrpcPeerTransport, HttpInstanceList, KeyIndex, LinkListener, LinkPool, ProcessContext } from 'clementineloft/internals'
+import type { CommonSettings, ConfigDocument } from 'clementineloft/internals'
+import { DemoFleet } from '../lib/demo-fleet.js'
+import { programCommand, standInCommand } from '../lib/program-paths.js'
+
+setFlagsFromString('--expose-gc')
+const collectGarbage = runInNewContext('gc') as () => void
+
+const bytesPerMegabyte = 1_000_000
+const warmUpMs = 15_000
+const idleSeconds = 20
+
+/** The size of the target. */
+export const target = {
+  entries: 390,
+  workers: 650,
+  accelerators: 5200,
+  teams: 710,
+  models: 4,
+  dataCentres: 6,
+  requestsPerSecond: 3200,
+  tokensPerSecond: 860_000,
+  changesPerDay: 590,
+  instanceChangesPerDay: 123,
+  stagesPerPipeline: 3
+} as const
+
+/** Creates a configuration of the given size. */
+export const createDocument = (teams: number, endpoints: number): ConfigDocument => {
+  const document: ConfigDocument = { teams: {}, models: {}, endpoints: {}, services: {}, links: [] }
+  for (let index = 0; index < teams; index++) {
+    document.teams[`team-${index}`] = { class: 'paying', weight: 1, keyDigests: [computeDigest(`key-${index}`)] }
+  }
+  for (let index = 0; index < target.models; index++) document.models[`model-${index}`] = { layers: 24 }
+  for (let index = 0; index < endpoints; index++) {
+    const stage = index % target.stagesPerPipeline
+    document.endpoints[`endpoint-${index}`] = {
+      state: 'serving',
+      dataCentre: `data-centre-${index % target.dataCentres}`,
+      model: `model-${Math.floor(index / target.stagesPerPipeline) % target.models}`,
+      firstLayer: stage * 8,
+      lastLayer: stage * 8 + 7,
+      tokensPerSecond: [250, 750, 2000][index % 3] as number
+    }
+  }
+  return document
+}
+
+const createInstances = (count: number): Instance[] => Array.from({ length: count }, (_, index) =>
+  ({ name: `endpoint-${index}`, role: 'sidecar', address: `10.0.${index >> 8}.${index & 255}:7000`, dataCentre: `data-centre-${index % target.dataCentres}`, state: 'live' }))
+
+/** State that every process derives from a configuration and a list of instances. */
+const buildState = (document: ConfigDocument, instances: Instance[]): unknown[] => {
+  const replica = new ConfigReplica<ConfigDocument>()
+  const copy = JSON.parse(JSON.stringify({ revision: 1, document, changes: [] })) as ConfigSnapshot<ConfigDocument>
+  replica.apply({ snapshot: copy })
+  const membership = new Membership()
+  membership.apply({ version: '1', instances: JSON.parse(JSON.stringify(instances)) as Instance[] })
+  const directory = new EndpointDirectory('entry-1', 8, membership, new ManualClock())
+  directory.applyConfig(copy.document)
+  const keys = new KeyIndex()
+  keys.applyConfig(copy.document)
+  return [replica, membership, directory, keys]
+}
+
+const measureHeap = (build: () => unknown): number => {
+  build()
+  collectGarbage()
+  const before = process.memoryUsage().heapUsed
+  const held = build()
+  collectGarbage()
+  const used = process.memoryUsage().heapUsed - before
+  return held === undefined ? 0 : used
+}
+
+/** Heap of control's state, in bytes for each thing it holds. */
+export interface StateSlopes {
+  perTeam: number
+  perEndpoint: number
+  perInstance: number
+  /** Size of the document as JSON at the size of the target. */
+  documentBytes: number
+  /** Size of one change as a delta. */
+  deltaBytes: number
+  /** Processor time to bring a change into force at the size of the target, in milliseconds. */
+  applyMs: number
+}
+
+/** Measures heap by building the same state at two sizes. */
+export const measureState = (): StateSlopes => {
+  const none: Instance[] = []
+  const base = measureHeap(() => buildState(createDocument(0, 0), none))
+  const perTeam = (measureHeap(() => buildState(createDocument(4000, 0), none)) - base) / 4000
+  const instances = createInstances(1300)
+  const withInstances = measureHeap(() => buildState(createDocument(0, 0), instances))
+  const perEndpoint = (measureHeap(() => buildState(createDocument(0, 1300), instances)) - withInstances) / 1300
+  const document = createDocument(target.teams, target.workers)
+  const first: ConfigSnapshot<ConfigDocument> = { revision: 1, document, changes: [] }
+  const changed = structuredClone(document)
+  ;(changed.teams['team-5'] as { weight: number }).weight = 7
+  const next = createNextSnapshot(first, changed, 'change')
+  const repetitions = 20
+  const startedMs = performance.now()
+  for (let repetition = 0; repetition < repetitions; repetition++) buildState(document, instances.slice(0, target.workers))
+  return {
+    perTeam,
+    perEndpoint,
+    perInstance: (withInstances - base) / 1300,
+    documentBytes: JSON.stringify(document).length,
+    deltaBytes: JSON.stringify(next.changes).length,
+    applyMs: (performance.now() - startedMs) / repetitions
+  }
+}
+
+/** Counts the bytes between callers and one process. */
+class CountingRelay {
+  bytes = 0
+  connections = 0
+  private server: Server | undefined
+  private readonly sockets = new Set<Socket>()
+
+  async start (targetPort: number): Promise<number> {
+    const server = createServer((incoming) => {
+      this.connections++
+      const outgoing = connect(targetPort, '127.0.0.1')
+      for (const [from, to] of [[incoming, outgoing], [outgoing, incoming]] as const) {
+        this.sockets.add(from)
+        from.on('data', (bytes) => {
+          this.bytes += bytes.byteLength
+          to.write(bytes)
+        })
+        from.on('close', () => { to.destroy() })
+        from.on('error', () => {})
+      }
+    })
+    this.server = server
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+    return (server.address() as { port: number }).port
+  }
+
+  stop (): void {
+    this.server?.close()
+    for (const socket of this.sockets) socket.destroy()
+  }
+}
+
+class SilentListener extends LinkListener {
+  override handleFrame (): void {}
+
+  override handleHeader (): void {}
+
+  override handleLost (): void {}
+}
+
+/** Costs of messages between processes and to the platform, and resident memory. */
+export interface ProcessSlopes {
+  bareResidentMb: number
+  entryResidentMb: number
+  sidecarResidentMb: number
+  exchangeBytes: number
+  exchangeServedMicroseconds: number
+  exchangeCalledMicroseconds: number
+  linkHeldBytes: number
+  linkServedBytes: number
+  idleMicrosecondsPerSecond: number
+  listPollBytes: number
+}
+
+const readGauge = async (adminUrl: string, name: string): Promise<number> => {
+  const text = await (await fetch(`${adminUrl}/metrics`)).text()
+  return Number(new RegExp(`^${name} (\\d+)`, 'm').exec(text)?.[1])
+}
+
+const measureBareResident = async (): Promise<number> => await new Promise((resolve) => {
+  const child = spawn(process.execPath, ['-e', 'setTimeout(() => { console.log(process.memoryUsage.rss()) }, 500)'])
+  child.stdout.on('data', (bytes: Buffer) => { resolve(Number(bytes.toString())) })
+})
+
+const wait = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms) })
+
+/** Measures on a small fleet of real processes. */
+export const measureProcesses = async (): Promise<ProcessSlopes> => {
+  const fleet = new DemoFleet({
+    program: programCommand,
+    standIn: standInCommand,
+    folder: mkdtempSync(join(tmpdir(), 'clementineloft-capacity-')),
+    entries: 1,
+    stages: [[0, 3]],
+    copies: 1,
+    workers: 0,
+    engineStepMs: 0,
+    bookingMs: 0,
+    hasRelays: false,
+    listIntervalMs: 5000
+  })
+  await fleet.start()
+  const [entry, sidecar] = [fleet.entries[0] as DemoFleet['entries'][number], fleet.sidecars[0] as DemoFleet['sidecars'][number]]
+  const relay = new CountingRelay()
+  const settings = {
+    instance: { name: 'driver', data_centre: 'd', address: '127.0.0.1:0', admin_address: '127.0.0.1:0' },
+    logs: { level: 'error', format: 'json' }
+  } as CommonSettings
+  const context = new ProcessContext(settings)
+  try {
+    await wait(warmUpMs)
+    const residents = [await measureBareResident(), await readGauge(entry.adminUrl, 'process_resident_bytes'), await readGauge(sidecar.adminUrl, 'process_resident_bytes')]
+    const idleBefore = await readGauge(entry.adminUrl, 'process_cpu_microseconds')
+    await wait(idleSeconds * 1000)
+    const idle = (await readGauge(entry.adminUrl, 'process_cpu_microseconds') - idleBefore) / idleSeconds
+    const port = await relay.start(Number(entry.address.split(':')[1]))
+    const transport = new GrpcPeerTransport(context, createPlainCredentials())
+    const runExchanges = async (count: number): Promise<void> => {
+      for (let index = 0; index < count; index++) await transport.callPeer(`127.0.0.1:${port}`, '')
+    }
+    context.replica.apply({ snapshot: { revision: 1, document: createDocument(0, 0), changes: [] } })
+    await runExchanges(100)
+    relay.bytes = 0
+    const exchanges = 500
+    const served = await readGauge(entry.adminUrl, 'process_cpu_microseconds')
+    const own = process.cpuUsage()
+    await runExchanges(exchanges)
+    const ownUsed = process.cpuUsage(own)
+    const servedUsed = await readGauge(entry.adminUrl, 'process_cpu_microseconds') - served
+    const links = 200
+    const pools = new LinkPool(context, createPlainCredentials(), new SilentListener())
+    collectGarbage()
+    const heldBefore = process.memoryUsage()
+    const sidecarBefore = await readGauge(sidecar.adminUrl, 'process_heap_bytes')
+    for (let index = 0; index < links; index++) pools.send(`link-${index}`, sidecar.address, { probe: { request: 'none', attempt: 1 } })
+    await wait(2000)
+    collectGarbage()
+    const heldAfter = process.memoryUsage()
+    const sidecarAfter = await readGauge(sidecar.adminUrl, 'process_heap_bytes')
+    pools.close()
+    const listRelay = new CountingRelay()
+    const listPort = await listRelay.start(Number(new URL(fleet.platformUrl).port))
+    const list = new HttpInstanceList(`http://127.0.0.1:${listPort}`, 2000)
+    const { version } = await list.fetch('') as { version: string }
+    listRelay.bytes = 0
+    const polls = 50
+    for (let index = 0; index < polls; index++) await list.fetch(version)
+    listRelay.stop()
+    return {
+      bareResidentMb: (residents[0] as number) / bytesPerMegabyte,
+      entryResidentMb: (residents[1] as number) / bytesPerMegabyte,
+      sidecarResidentMb: (residents[2] as number) / bytesPerMegabyte,
+      exchangeBytes: relay.bytes / exchanges,
+      exchangeServedMicroseconds: servedUsed / exchanges,
+      exchangeCalledMicroseconds: (ownUsed.user + ownUsed.system) / exchanges,
+      linkHeldBytes: (heldAfter.heapUsed + heldAfter.external - heldBefore.heapUsed - heldBefore.external) / links,
+      linkServedBytes: Math.max(0, sidecarAfter - sidecarBefore) / links,
+      idleMicrosecondsPerSecond: idle,
+      listPollBytes: listRelay.bytes / polls
+    }
+  } finally {
+    relay.stop()
+    await fleet.stop()
+  }
+}
--- a/packages/stand-ins/src/measure/measure-path.ts
+++ b/packages/stand-ins/src/measure/measure-path.ts
@@ -85,7 +85,7 @@
     this.pool = new LinkPool(this.context, createPlainCredentials(), this)
     this.server.addService(sidecarService, {
       connect: (stream: ServerDuplexStream<{ frames: Frame[] }, object>) => {
-        stream.on('data', (batch: { frames: Frame[] }) => { for (const frame of batch.frames) this.passOn(frame) })
+        stream.on('data', (batch: { frames: Frame[] }) => { for (const frame of batch.frames) this.forwardStep(frame) })
       }
     })
   }
@@ -152,14 +152,14 @@
     this.pool.send(sidecar.name, sidecar.address, frame)
   }
 
-  private passOn (frame: Frame): void {
+  private forwardStep (frame: Frame): void {
     if (frame.step != null) this.send(frame.step.stage, { step: frame.step })
   }
 }
 
 const formatQuantiles = (values: readonly number[]): string[] => [0.5, 0.95, 0.99].map((quantile) => computeQuantile(values, quantile).toFixed(2))
 
-const collect = async (run: () => Promise<number[]>): Promise<number[]> => {
+const runRepeatedly = async (run: () => Promise<number[]>): Promise<number[]> => {
   const all: number[] = []
   await run()
   for (let repetition = 0; repetition < repetitions; repetition++) all.push(...await run())
@@ -173,10 +173,10 @@
   const driver = new PathDriver(fleet)
   await driver.start()
   try {
-    const direct = await collect(async () => await measureDirect(fleet))
-    const routed = await collect(async () => (await measureRouted(fleet)).intervals)
-    const forwarded = await collect(async () => await driver.run(true))
-    const star = await collect(async () => await driver.run(false))
+    const direct = await runRepeatedly(async () => await measureDirect(fleet))
+    const routed = await runRepeatedly(async () => (await measureRouted(fleet)).intervals)
+    const forwarded = await runRepeatedly(async () => await driver.run(true))
+    const star = await runRepeatedly(async () => await driver.run(false))
     const added = (computeQuantile(routed, 0.5) - computeQuantile(direct, 0.5)).toFixed(2)
     return {
       title: 'Path of a token over three stages',
@@ -220,7 +220,7 @@
   try {
     const entry = fleet.entries[0] as DemoFleet['entries'][number]
     await runStreams(entry.url, 50)
-    const sample = async (length: number): Promise<{ entry: number, sidecars: number, tokens: number, seconds: number }> => {
+    const runSample = async (length: number): Promise<{ entry: number, sidecars: number, tokens: number, seconds: number }> => {
       const startedMs = performance.now()
       const before = await Promise.all([entry, ...fleet.sidecars].map(async (member) => await readCpu(member.adminUrl)))
       let generated = 0
@@ -230,8 +230,8 @@
       const [entryUsed = 0, ...sidecarsUsed] = used
       return { entry: entryUsed, sidecars: sidecarsUsed.reduce((sum, value) => sum + value, 0), tokens: generated, seconds: (performance.now() - startedMs) / 1000 }
     }
-    const short = await sample(1)
-    const long = await sample(200)
+    const short = await runSample(1)
+    const long = await runSample(200)
     const extraTokens = long.tokens - short.tokens
     return {
       tokensPerSecond: long.tokens / long.seconds,
