--- a/packages/clementineloft/src/lib/entry.ts
+++ b/packages/clementineloft/src/lib/entry.ts
@@ -14,7 +14,6 @@
 import { RunManager } from './run-manager.js'
 import { ServiceHandler } from './service-handler.js'
 import type { EntrySettings } from './settings-schema.js'
-import { createPlainCredentials } from './stage-link.js'
 
 const listenBacklog = 1024
 
@@ -34,7 +33,7 @@
   ) {
     const { replica, membership, clock } = context
     const { runs, callers } = settings
-    this.runtime = new NodeRuntime(context, createPlainCredentials())
+    this.runtime = new NodeRuntime(context)
     this.directory = new EndpointDirectory(settings.instance.name, runs.endpoints_per_stage, membership, clock)
     this.runs = new RunManager(this.runtime, this.directory, {
       openTimeoutMs: runs.open_timeout_ms,
--- a/packages/clementineloft/src/lib/node-runtime.ts
+++ b/packages/clementineloft/src/lib/node-runtime.ts
@@ -1,7 +1,7 @@
 /**
  * What entry and sidecar have in common: the gRPC server, configuration, instance list, admin server and shutdown.
  */
-import { Server, ServerCredentials } from '@grpc/grpc-js'
+import { Server } from '@grpc/grpc-js'
 import type { ChannelCredentials, ServiceDefinition, UntypedServiceImplementation } from '@grpc/grpc-js'
 import { ConfigSpread, StoreRecord } from '@clementineloft/coordination'
 import type { ConfigSnapshot, Instance, ObjectStore } from '@clementineloft/coordination'
@@ -15,6 +15,7 @@
 import { peerService } from './grpc-services.js'
 import { createPeerHandlers, GrpcPeerTransport } from './peer-service.js'
 import type { ProcessContext } from './process-context.js'
+import { createChannelCredentials, createServerCredentials } from './process-credentials.js'
 import { channelOptions } from './stage-link.js'
 
 const drainPollMs = 50
@@ -30,19 +31,17 @@
   private isStopped = false
   private isStoreFaulty = false
 
-  /**
-   * @param context - parts of this process
-   * @param channelCredentials - credentials towards other processes
-   */
-  constructor (
-    readonly context: ProcessContext,
-    readonly channelCredentials: ChannelCredentials
-  ) {
+  /** Credentials towards other processes. */
+  readonly channelCredentials: ChannelCredentials
+
+  /** @param context - parts of this process */
+  constructor (readonly context: ProcessContext) {
     const { settings, clock, random, metrics, replica, membership } = context
     const { platform, instance, spread } = settings
     this.store = objectStores.get(platform.adapter)(platform.store_url, platform.timeout_ms, metrics)
     this.configRecord = new StoreRecord(this.store, configKey, clock)
-    this.transport = new GrpcPeerTransport(context, channelCredentials)
+    this.channelCredentials = createChannelCredentials(settings.tls)
+    this.transport = new GrpcPeerTransport(context, this.channelCredentials)
     const self = { name: instance.name, dataCentre: instance.data_centre }
     this.spread = new ConfigSpread(
       self, replica, this.configRecord, membership, this.transport, clock, random,
@@ -128,7 +127,7 @@
 
   private listen (address: string): Promise<void> {
     return new Promise((resolve, reject) => {
-      this.server.bindAsync(address, ServerCredentials.createInsecure(), (error) => {
+      this.server.bindAsync(address, createServerCredentials(this.context.settings.tls), (error) => {
         if (error === null) resolve()
         else reject(createError(ErrorKind.settingsInvalid, `cannot listen on "${address}": ${error.message}`))
       })
--- a/packages/clementineloft/src/lib/sidecar.ts
+++ b/packages/clementineloft/src/lib/sidecar.ts
@@ -5,7 +5,6 @@
 import { NodeRuntime } from './node-runtime.js'
 import { ServiceSidecar } from './service-sidecar.js'
 import type { SidecarSettings } from './settings-schema.js'
-import { createPlainCredentials } from './stage-link.js'
 import { StageSidecar } from './stage-sidecar.js'
 
 const moveMs = 10_000
@@ -16,7 +15,7 @@
  * @returns a function that shuts it down gracefully
  */
 export const runSidecar = async (context: ProcessContext, settings: SidecarSettings): Promise<() => Promise<void>> => {
-  const runtime = new NodeRuntime(context, createPlainCredentials())
+  const runtime = new NodeRuntime(context)
   const guard = settings.engine !== undefined
     ? new StageSidecar(runtime, settings.engine)
     : new ServiceSidecar(runtime, settings.service as NonNullable<SidecarSettings['service']>)
--- a/packages/clementineloft/src/lib/stage-link.ts
+++ b/packages/clementineloft/src/lib/stage-link.ts
@@ -1,7 +1,7 @@
 /**
  * One stream of frames to a sidecar. Frames of the same turn of the event loop travel in one message.
  */
-import { Client, credentials } from '@grpc/grpc-js'
+import { Client } from '@grpc/grpc-js'
 import type { ChannelCredentials, ClientDuplexStream } from '@grpc/grpc-js'
 import type { Frame } from '@clementineloft/routing'
 import type { clementineloft as wire } from '../../generated/wire.js'
@@ -16,9 +16,6 @@
   'grpc.max_reconnect_backoff_ms': 1000
 }
 
-/** @returns a client without TLS */
-export const createPlainCredentials = (): ChannelCredentials => credentials.createInsecure()
-
 /** What happens on a link. */
 export interface LinkHandlers {
   handleBatch: (batch: wire.IBatch) => void
--- a/packages/stand-ins/src/lib/demo-fleet.ts
+++ b/packages/stand-ins/src/lib/demo-fleet.ts
@@ -28,6 +28,8 @@
   bookingMs: number
   /** Grace period of a shutdown, in milliseconds. */
   graceMs?: number
+  /** Files of mutual TLS; plain text unless given. */
+  tls?: { caFile: string, certFile: string, keyFile: string }
   /** Time between two reads of the instance list, in milliseconds; 500 unless given, so that tests are quick. */
   listIntervalMs?: number
   /** Whether a relay stands before each sidecar, to cut its link; true unless given. */
@@ -166,12 +168,14 @@
     const address = `${host}:${this.takePort()}`
     const admin = `${host}:${this.takePort()}`
     const other = `${host}:${this.takePort()}`
+    const { tls } = this.options
     const role = kind === 'entry' ? 'entry' : 'sidecar'
     const beside = kind === 'entry' ? `[callers]\naddress = "${other}"\n` : `[${kind}]\nurl = "http://${other}"\n`
     writeFileSync(join(this.options.folder, `${name}.toml`), [
       `role = "${role}"\n`,
       `[instance]\nname = "${name}"\ndata_centre = "${dataCentre}"\naddress = "${address}"\nadmin_address = "${admin}"\n`,
       `[platform]\nstore_url = "${this.platformUrl}"\nlist_url = "${this.platformUrl}"\nlist_interval_ms = ${this.options.listIntervalMs ?? defaultListIntervalMs}\n`,
+      tls === undefined ? '' : `[tls]\nca_file = "${tls.caFile}"\ncert_file = "${tls.certFile}"\nkey_file = "${tls.keyFile}"\n`,
       `[shutdown]\ngrace_ms = ${this.options.graceMs ?? defaultGraceMs}\n`,
       beside
     ].join('\n'))
--- a/packages/stand-ins/src/measure/capacity-slopes.ts
+++ b/packages/stand-ins/src/measure/capacity-slopes.ts
@@ -12,7 +12,7 @@
 import { ConfigReplica, createNextSnapshot, Membership } from '@clementineloft/coordination'
 import type { ConfigSnapshot, Instance } from '@clementineloft/coordination'
 import { computeDigest, ManualClock } from '@clementineloft/kernel'
-import { createPlainCredentials, EndpointDirectory, GrpcPeerTransport, HttpInstanceList, KeyIndex, LinkListener, LinkPool, ProcessContext } from 'clementineloft/internals'
+import { createChannelCredentials, EndpointDirectory, GrpcPeerTransport, HttpInstanceList, KeyIndex, LinkListener, LinkPool, ProcessContext } from 'clementineloft/internals'
 import type { CommonSettings, ConfigDocument } from 'clementineloft/internals'
 import { DemoFleet } from '../lib/demo-fleet.js'
 import { programCommand, standInCommand } from '../lib/program-paths.js'
@@ -222,7 +222,7 @@
     await wait(idleSeconds * 1000)
     const idle = (await readGauge(entry.adminUrl, 'process_cpu_microseconds') - idleBefore) / idleSeconds
     const port = await relay.start(Number(entry.address.split(':')[1]))
-    const transport = new GrpcPeerTransport(context, createPlainCredentials())
+    const transport = new GrpcPeerTransport(context, createChannelCredentials())
     const runExchanges = async (count: number): Promise<void> => {
       for (let index = 0; index < count; index++) await transport.callPeer(`127.0.0.1:${port}`, '')
     }
@@ -236,7 +236,7 @@
     const ownUsed = process.cpuUsage(own)
     const servedUsed = await readGauge(entry.adminUrl, 'process_cpu_microseconds') - served
     const links = 200
-    const pools = new LinkPool(context, createPlainCredentials(), new SilentListener())
+    const pools = new LinkPool(context, createChannelCredentials(), new SilentListener())
     collectGarbage()
     const heldBefore = process.memoryUsage()
     const sidecarBefore = await readGauge(sidecar.adminUrl, 'process_heap_bytes')
--- a/packages/stand-ins/src/measure/measure-path.ts
+++ b/packages/stand-ins/src/measure/measure-path.ts
@@ -8,7 +8,7 @@
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import { createIdentifier } from '@clementineloft/kernel'
 import type { Frame, StatusFrame, TokensFrame } from '@clementineloft/routing'
-import { createPlainCredentials, LinkListener, LinkPool, ProcessContext, sidecarService } from 'clementineloft/internals'
+import { createChannelCredentials, LinkListener, LinkPool, ProcessContext, sidecarService } from 'clementineloft/internals'
 import type { CommonSettings } from 'clementineloft/internals'
 import { streamChat } from '../lib/caller.js'
 import { DemoFleet, demoModel } from '../lib/demo-fleet.js'
@@ -82,7 +82,7 @@
       logs: { level: 'error', format: 'json' }
     } as CommonSettings
     this.context = new ProcessContext(settings)
-    this.pool = new LinkPool(this.context, createPlainCredentials(), this)
+    this.pool = new LinkPool(this.context, createChannelCredentials(), this)
     this.server.addService(sidecarService, {
       connect: (stream: ServerDuplexStream<{ frames: Frame[] }, object>) => {
         stream.on('data', (batch: { frames: Frame[] }) => { for (const frame of batch.frames) this.forwardStep(frame) })
