Order engines to load layers under a fenced lease; capacity tables; example that a test runs

Cause: a plan could name layers that no engine was told to load, and nothing fenced a holder that wakes. Ways weighed: a lease with a term and renewals (a write for each process and a clock to trust), a lease without a term whose number grows (chosen: no writes at rest). Orders state the whole target, carry the number, and are read back, for engines that ignore old numbers. Ruled out: checking the lease just before sending as the only guard; the test pauses exactly there. Before: no orders. After: against both kinds of engine the final state is the new holder's; without the store no order is given. Waits on the system clock now keep a process alive, which the README's example needed. Conclusion: fencing is shown on the decision code; process-level cases run with orders switched on.

--- a/packages/clementineloft/src/lib/adapters.ts
+++ b/packages/clementineloft/src/lib/adapters.ts
@@ -4,7 +4,7 @@
 import type { InstanceList, ObjectStore } from '@clementineloft/coordination'
 import { PluginRegistry } from '@clementineloft/kernel'
 import type { Clock, Metrics } from '@clementineloft/kernel'
-import type { ModelEngine } from '@clementineloft/routing'
+import type { ModelEngine, OrderedEngine } from '@clementineloft/routing'
 import type { PlainService } from './plain-service.js'
 
 /** Adapters of the platform's object API. */
@@ -16,5 +16,8 @@
 /** Adapters of model engines. */
 export const modelEngines = new PluginRegistry<(url: string, timeoutMs: number, clock: Clock) => ModelEngine>('model engine')
 
+/** Adapters for orders to model engines. */
+export const orderedEngines = new PluginRegistry<(url: string, timeoutMs: number) => OrderedEngine>('ordered engine')
+
 /** Adapters of plain services. */
 export const plainServices = new PluginRegistry<(url: string, timeoutMs: number) => PlainService>('plain service')
--- a/packages/clementineloft/src/lib/admin-server.ts
+++ b/packages/clementineloft/src/lib/admin-server.ts
@@ -15,6 +15,7 @@
   private readonly routes = new Map<string, AdminHandler>()
   private readonly server = createServer((request, response) => { void this.handle(request, response) })
   private readonly membershipListeners: Array<() => void> = []
+  private readonly readinessChecks: Array<() => boolean> = []
 
   constructor (private readonly context: ProcessContext) {
     this.addRoute('GET /timeline', () => context.journal.list())
@@ -33,6 +34,11 @@
     this.routes.set(route, handler)
   }
 
+  /** @param check - whether a part of this process is ready for work */
+  addReadinessCheck (check: () => boolean): void {
+    this.readinessChecks.push(check)
+  }
+
   /** @param listener - called after each change of the list of instances */
   subscribeMembership (listener: () => void): void {
     this.membershipListeners.push(listener)
@@ -62,7 +68,7 @@
 
   /** @returns whether this process takes new work */
   isReady (): boolean {
-    return this.context.replica.getRevision() > 0 && !this.context.isLeaving
+    return this.context.replica.getRevision() > 0 && !this.context.isLeaving && this.readinessChecks.every((check) => check())
   }
 
   private describe (): unknown {
--- a/packages/clementineloft/src/lib/command-line.ts
+++ b/packages/clementineloft/src/lib/command-line.ts
@@ -14,6 +14,7 @@
 import './http-instance-list.js'
 import './http-model-engine.js'
 import './http-object-store.js'
+import './http-ordered-engine.js'
 import './http-plain-service.js'
 
 const version = '0.1.0'
--- a/packages/clementineloft/src/lib/settings-schema.ts
+++ b/packages/clementineloft/src/lib/settings-schema.ts
@@ -83,6 +83,7 @@
 const engine = z.strictObject({
   adapter: z.enum(['http']).default('http').describe('adapter of the model engine'),
   url: url.describe('the model engine'),
+  takes_orders: z.boolean().default(false).describe('whether the sidecar orders the engine to load the layers that the configuration names'),
   max_batch: count.default(64).describe('steps that run at the same time'),
   max_chunk: count.default(64).describe('positions of a long prompt that run in one step'),
   burst_credit: count.default(4096).describe('positions by which a team that has used less than its share may run ahead of one that has used more'),
--- a/packages/clementineloft/src/lib/stage-sidecar.ts
+++ b/packages/clementineloft/src/lib/stage-sidecar.ts
@@ -2,11 +2,12 @@
  * A sidecar beside a model engine: carries frames between entries, other sidecars and the stage host.
  */
 import type { ServerDuplexStream } from '@grpc/grpc-js'
+import { FencedLease } from '@clementineloft/coordination'
 import { createIdentifier } from '@clementineloft/kernel'
-import { StageHost, StageOutlet } from '@clementineloft/routing'
-import type { Frame, Hop } from '@clementineloft/routing'
+import { EngineOrders, StageHost, StageOutlet } from '@clementineloft/routing'
+import type { Frame, Hop, LoadedLayers } from '@clementineloft/routing'
 import type { clementineloft as wire } from '../../generated/wire.js'
-import { modelEngines } from './adapters.js'
+import { modelEngines, orderedEngines } from './adapters.js'
 import { computeFreeFactor, computePlaces, computeWeight } from './config-document.js'
 import { sidecarService } from './grpc-services.js'
 import { LinkListener, LinkPool } from './link-pool.js'
@@ -15,6 +16,8 @@
 
 const crashReportMs = 300
 
+type EngineSettings = NonNullable<SidecarSettings['engine']>
+
 type Connection = ServerDuplexStream<wire.Batch, wire.IBatch>
 
 /** Batches the frames of one turn of the event loop towards one entry. */
@@ -58,10 +61,11 @@
   private readonly host: StageHost
   private readonly hops: LinkPool
   private readonly connections = new Map<string, EntryConnection>()
+  private readonly orders: EngineOrders | undefined
 
   constructor (
     private readonly runtime: NodeRuntime,
-    settings: NonNullable<SidecarSettings['engine']>
+    settings: EngineSettings
   ) {
     super()
     const { context, channelCredentials } = runtime
@@ -76,6 +80,7 @@
         getWeight: (team) => computeWeight(replica.getDocument()?.teams[team]),
         getFreeFactor: (team) => computeFreeFactor(replica.getDocument()?.teams[team]),
         getPlaces: () => computePlaces(replica.getDocument()?.endpoints[context.settings.instance.name], settings.token_interval_ms),
+        hasLayers: (layers) => this.orders?.isLoaded(layers) ?? true,
         isSuspect: (fingerprint) => crashes.isSuspect(fingerprint),
         isQuarantined: (fingerprint) => crashes.isQuarantined(fingerprint)
       },
@@ -90,6 +95,8 @@
         maxLogBytes: settings.max_log_bytes
       }
     )
+    this.orders = settings.takes_orders ? this.createOrders(settings) : undefined
+    void this.orders?.run()
     this.hops = new LinkPool(context, channelCredentials, new HopListener((endpoint) => { this.host.handleHopLost(endpoint) }))
     runtime.addService(sidecarService, {
       connect: (stream: Connection) => { this.acceptConnection(stream) }
@@ -130,6 +137,25 @@
     await Promise.race([report, context.clock.wait(crashReportMs)])
   }
 
+  private createOrders (settings: EngineSettings): EngineOrders {
+    const { context, store } = this.runtime
+    const { clock, incarnation, journal, replica } = context
+    const endpoint = context.settings.instance.name
+    const lease = new FencedLease(store, `leases/${endpoint}`, clock, incarnation)
+    const engine = orderedEngines.get(settings.adapter)(settings.url, settings.step_timeout_ms)
+    const getTarget = (): LoadedLayers | undefined => {
+      const { model, firstLayer = 0, lastLayer = 0 } = replica.getDocument()?.endpoints[endpoint] ?? {}
+      return model === undefined ? undefined : { model, firstLayer, lastLayer }
+    }
+    const orders = new EngineOrders(endpoint, engine, async () => await lease.confirm(), getTarget, clock, journal)
+    replica.subscribe(() => { void orders.reconcile() })
+    this.runtime.admin.addReadinessCheck(() => {
+      const target = getTarget()
+      return target === undefined || orders.isLoaded(target)
+    })
+    return orders
+  }
+
   private acceptConnection (stream: Connection): void {
     const { context } = this.runtime
     const connection = createIdentifier()
--- a/packages/kernel/src/lib/clock.ts
+++ b/packages/kernel/src/lib/clock.ts
@@ -36,7 +36,7 @@
   }
 }
 
-/** The clock of the operating system. Its timers do not keep the process alive. */
+/** The clock of the operating system. Scheduled callbacks do not keep the process alive; a wait does. */
 export class SystemClock extends Clock {
   override now (): number {
     return performance.now()
@@ -51,6 +51,10 @@
     handle.unref()
     return { cancel: () => { clearTimeout(handle) } }
   }
+
+  override wait (delayMs: number): Promise<void> {
+    return new Promise((resolve) => { setTimeout(resolve, delayMs) })
+  }
 }
 
 interface ScheduledCallback {
--- a/packages/routing/src/lib/stage-host.ts
+++ b/packages/routing/src/lib/stage-host.ts
@@ -5,6 +5,7 @@
 import type { Clock, Journal, Metrics, Timer } from '@clementineloft/kernel'
 import { Admission } from './admission.js'
 import type { FreeFactor } from './admission.js'
+import type { LoadedLayers } from './engine-orders.js'
 import { EngineExecutor, isEngineCrash } from './engine-executor.js'
 import type { ExecutorOptions } from './engine-executor.js'
 import type { TeamWeights } from './fair-queue.js'
@@ -50,6 +51,8 @@
   getFreeFactor: FreeFactor
   /** Requests that the endpoint may hold without missing the target for the time between tokens. */
   getPlaces: () => number
+  /** Whether the engine has the layers that a reservation asks for. */
+  hasLayers: (layers: LoadedLayers) => boolean
   /** Whether a request with this fingerprint was running when an engine crashed. */
   isSuspect: (fingerprint: string) => boolean
   /** Whether a request with this fingerprint is refused everywhere. */
@@ -221,6 +224,9 @@
       return { kind: ErrorKind.quarantined, message: 'the same request crashed several endpoints before' }
     }
     if (this.isEngineDown) return { kind: ErrorKind.noCapacity, message: `the engine of endpoint "${endpoint}" is down` }
+    if (!this.context.hasLayers(open)) {
+      return { kind: ErrorKind.noCapacity, message: `endpoint "${endpoint}" does not hold layers ${open.firstLayer}-${open.lastLayer} of model "${open.model}"` }
+    }
     if (!this.admission.canAdmit(open.team)) {
       return { kind: ErrorKind.overloaded, message: `endpoint "${endpoint}" holds ${this.sessions.size} requests; no place for team "${open.team}"` }
     }
--- a/packages/routing/src/test/pipeline-run_property_test.ts
+++ b/packages/routing/src/test/pipeline-run_property_test.ts
@@ -146,6 +146,7 @@
       getWeight: () => 1,
       getFreeFactor: () => 100,
       getPlaces: () => 10,
+      hasLayers: () => true,
       isSuspect: () => false,
       isQuarantined: () => false
     }
--- a/packages/stand-ins/src/capacity.ts
+++ b/packages/stand-ins/src/capacity.ts
@@ -77,7 +77,7 @@
   const bytes = computeControlBytes(state, processes)
   const core = computeControlCore(state, processes)
   const entryState = shared + linksPerEntry * processes.linkHeldBytes / bytesPerMegabyte
-  const hops = endpointsPerStage * target.models
+  const hops = target.workers / rangesOfLayers
   const sidecarState = shared + (entriesPerSidecar * processes.linkServedBytes + hops * processes.linkHeldBytes) / bytesPerMegabyte
   return {
     title: 'Control in one process at the size of the target',
--- a/packages/stand-ins/src/lib/demo-fleet.ts
+++ b/packages/stand-ins/src/lib/demo-fleet.ts
@@ -170,7 +170,7 @@
     const other = `${host}:${this.takePort()}`
     const { tls } = this.options
     const role = kind === 'entry' ? 'entry' : 'sidecar'
-    const beside = kind === 'entry' ? `[callers]\naddress = "${other}"\n` : `[${kind}]\nurl = "http://${other}"\n`
+    const beside = kind === 'entry' ? `[callers]\naddress = "${other}"\n` : `[${kind}]\nurl = "http://${other}"\n${kind === 'engine' ? 'takes_orders = true\n' : ''}`
     writeFileSync(join(this.options.folder, `${name}.toml`), [
       `role = "${role}"\n`,
       `[instance]\nname = "${name}"\ndata_centre = "${dataCentre}"\naddress = "${address}"\nadmin_address = "${admin}"\n`,
--- a/packages/stand-ins/src/lib/engine-server.ts
+++ b/packages/stand-ins/src/lib/engine-server.ts
@@ -30,6 +30,8 @@
 export class EngineServer {
   private readonly sessions = new Map<string, EngineSession>()
   private readonly rowsRun = new Map<string, number>()
+  private loaded: object | undefined
+  private highestFence = 0
 
   /**
    * @param stepMs - time that a step takes, in milliseconds
@@ -48,6 +50,7 @@
   private async handle (request: StandInRequest): Promise<StandInReply | null> {
     const { pathname } = request.url
     if (pathname === '/rows') return { status: 200, body: Object.fromEntries(this.rowsRun) }
+    if (pathname === '/v1/loaded') return this.handleLoaded(request)
     if (pathname === '/v1/health') return { status: 200, body: {} }
     const body = JSON.parse(request.body) as { text: string, session: string, steps: WireStep[] }
     if (pathname === '/v1/encode') return { status: 200, body: { rows: this.encode(body.text) } }
@@ -63,6 +66,16 @@
     return { status: 200, body: { results: body.steps.map((step) => this.runStep(step)) } }
   }
 
+  /** Takes orders to load layers; old fencing numbers are refused. */
+  private handleLoaded (request: StandInRequest): StandInReply {
+    if (request.method === 'GET') return this.loaded === undefined ? { status: 404 } : { status: 200, body: this.loaded }
+    const { fence, ...layers } = JSON.parse(request.body) as { fence: number }
+    if (fence < this.highestFence) return { status: 409 }
+    this.highestFence = fence
+    this.loaded = layers
+    return { status: 200, body: layers }
+  }
+
   private encode (text: string): string[] {
     const rows = encodeText(text).map((row) => Buffer.from(row).toString('base64'))
     return text.includes(crashWord) ? [...rows, crashRow] : rows
