--- a/packages/clementineloft/src/lib/admin-server.ts
+++ b/packages/clementineloft/src/lib/admin-server.ts
@@ -14,7 +14,6 @@
 export class AdminServer {
   private readonly routes = new Map<string, AdminHandler>()
   private readonly server = createServer((request, response) => { void this.handle(request, response) })
-  private readonly membershipListeners: Array<() => void> = []
   private readonly readinessChecks: Array<() => boolean> = []
 
   constructor (private readonly context: ProcessContext) {
@@ -39,16 +38,6 @@
     this.readinessChecks.push(check)
   }
 
-  /** @param listener - called after each change of the list of instances */
-  subscribeMembership (listener: () => void): void {
-    this.membershipListeners.push(listener)
-  }
-
-  /** Tells all listeners that the list of instances has changed. */
-  notifyMembership (): void {
-    for (const listener of this.membershipListeners) listener()
-  }
-
   /** @param address - where to listen, `ip:port` */
   listen (address: string): Promise<void> {
     const [host, port] = address.split(':') as [string, string]
--- a/packages/clementineloft/src/lib/check-document.ts
+++ b/packages/clementineloft/src/lib/check-document.ts
@@ -55,6 +55,11 @@
       throw createError(ErrorKind.conflict, `no endpoints would cover all layers of model "${model}"`)
     }
   }
+  for (const [service, { keyRanges }] of Object.entries(after.services)) {
+    const earlier = before.services[service]?.keyRanges ?? keyRanges
+    if (keyRanges === earlier) continue
+    throw createError(ErrorKind.conflict, `service "${service}" has ${earlier} key ranges; another number would lose the claims on keys`)
+  }
   for (const service of Object.keys(after.services)) {
     if (countWorkers(before, service) > 0 && countWorkers(after, service) === 0) {
       throw createError(ErrorKind.conflict, `service "${service}" would be left without an endpoint`)
--- a/packages/clementineloft/src/lib/entry.ts
+++ b/packages/clementineloft/src/lib/entry.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { createError, ErrorKind } from '@clementineloft/kernel'
 import { KeyIndex } from './authenticate.js'
+import { CallRouter } from './call-router.js'
 import { CompletionForm, CompletionHandler } from './completion-handler.js'
 import { EndpointDirectory } from './endpoint-directory.js'
 import { readBody, sendError, sendJson } from './http-server.js'
@@ -24,6 +25,7 @@
   private readonly keys = new KeyIndex()
   private readonly runs: RunManager
   private readonly completions: CompletionHandler
+  private readonly calls: CallRouter
   private readonly services: ServiceHandler
   private readonly server: Server
 
@@ -44,7 +46,8 @@
     })
     const hasModel = (model: string): boolean => replica.getDocument()?.models[model] !== undefined
     this.completions = new CompletionHandler(context, this.runs, hasModel, callers.default_deadline_ms)
-    this.services = new ServiceHandler(this.runtime, this.directory, callers.default_deadline_ms)
+    this.calls = new CallRouter(this.runtime, this.directory)
+    this.services = new ServiceHandler(context, this.calls, callers.default_deadline_ms)
     this.server = createServer(
       { maxHeaderSize: callers.max_header_bytes, requestTimeout: callers.body_timeout_ms, headersTimeout: callers.body_timeout_ms },
       (request, response) => { void this.handle(request, response) }
@@ -55,7 +58,7 @@
       this.keys.applyConfig(document)
       this.runs.retainEndpoints()
     })
-    this.runtime.admin.subscribeMembership(() => {
+    membership.subscribe(() => {
       this.directory.refresh()
       this.runs.retainEndpoints()
     })
@@ -77,7 +80,7 @@
     await this.runtime.drain(() => this.runs.countRuns() + this.services.countCalls(), longestMs)
     this.server.closeAllConnections()
     this.runs.close()
-    this.services.close()
+    this.calls.close()
   }
 
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/clementineloft/src/lib/node-runtime.ts
+++ b/packages/clementineloft/src/lib/node-runtime.ts
@@ -152,7 +152,6 @@
         if (listing !== undefined) {
           membership.apply(listing)
           journal.record({ name: 'instances-listed', detail: `${listing.instances.length} instances` })
-          this.admin.notifyMembership()
         }
       } catch (error) {
         this.context.metrics.count('instance_list_errors_total')
--- a/packages/clementineloft/src/lib/plain-service.ts
+++ b/packages/clementineloft/src/lib/plain-service.ts
@@ -8,6 +8,8 @@
 export interface ServiceCall extends GuardedCall {
   team: string
   method: string
+  /** Time after which the answer is of no use, in milliseconds from the arrival. */
+  deadlineMs: number
   /** Path and query within the service. */
   path: string
   /** Names and values by turns. */
--- a/packages/clementineloft/src/lib/service-sidecar.ts
+++ b/packages/clementineloft/src/lib/service-sidecar.ts
@@ -3,10 +3,11 @@
  */
 import PQueue from 'p-queue'
 import type { sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js'
-import { CallGate, CallRunner, ClaimRange, getClaimHolder, TicketIssuer } from '@clementineloft/coordination'
+import { CallGate, CallRunner, ClaimedElsewhereError, ClaimRange, TicketIssuer } from '@clementineloft/coordination'
 import {
   computeHash32, createError, ErrorKind, getErrorKind, getErrorMessage, getErrorOutcome, Outcome
 } from '@clementineloft/kernel'
+import type { Clock } from '@clementineloft/kernel'
 import { createFairQueueClass } from '@clementineloft/routing'
 import type { FairQueue, FairQueueOptions } from '@clementineloft/routing'
 import type { clementineloft as wire } from '../../generated/wire.js'
@@ -29,6 +30,7 @@
 
   constructor (
     private readonly service: PlainService,
+    private readonly clock: Clock,
     maxInFlight: number,
     getWeight: (team: string) => number
   ) {
@@ -37,7 +39,13 @@
   }
 
   override async run (call: ServiceCall): Promise<ServiceAnswer> {
-    return await this.queue.add(async () => await this.service.run(call), { team: call.team }) as ServiceAnswer
+    const arrivedMs = this.clock.now()
+    const runInTime = async (): Promise<ServiceAnswer> => {
+      const hasTime = this.clock.now() - arrivedMs < call.deadlineMs
+      if (!hasTime) throw createError(ErrorKind.deadline, `call "${call.request}" waited for ${call.deadlineMs} ms and was not started`)
+      return await this.service.run(call)
+    }
+    return await this.queue.add(runInTime, { team: call.team }) as ServiceAnswer
   }
 }
 
@@ -60,7 +68,7 @@
     this.tickets = new TicketIssuer(this.endpoint, incarnation, clock, settings.retention_ms)
     const service = plainServices.get(settings.adapter)(settings.url, settings.call_timeout_ms)
     const getWeight = (team: string): number => computeWeight(replica.getDocument()?.teams[team])
-    const runner = new QueuedRunner(service, settings.max_in_flight, getWeight)
+    const runner = new QueuedRunner(service, clock, settings.max_in_flight, getWeight)
     this.gate = new CallGate(
       this.endpoint, runner, (key) => this.findRange(key), this.tickets, clock, settings.retention_ms
     )
@@ -113,8 +121,8 @@
   }
 
   private parseCall (message: wire.CallRequest): ServiceCall {
-    const { request, team, service, key, fingerprint, isIdempotent, method, path, headers, body } = message
-    return { request, scope: `${service}/${team}`, key, fingerprint, isIdempotent, team, method, path, headers, body }
+    const { request, team, service, key, fingerprint, isIdempotent, method, deadlineMs, path, headers, body } = message
+    return { request, scope: `${service}/${team}`, key, fingerprint, isIdempotent, team, method, deadlineMs, path, headers, body }
   }
 
   /** A message that was meant for an earlier process at this address proves nothing about that process. */
@@ -158,14 +166,14 @@
       const outcome = getErrorOutcome(error)
       context.metrics.count(`service_errors_total{kind="${kind}"}`)
       context.journal.record({ name: 'call-failed', request, endpoint: this.endpoint, detail: `${kind}, ${outcome}` })
-      const holder = getClaimHolder(error)
+      const claim = error instanceof ClaimedElsewhereError ? error : undefined
       callback(null, {
         header: context.createHeader(this.inFlight),
         kind,
         outcome,
         message: getErrorMessage(error),
-        holder: holder?.holder ?? '',
-        holderIncarnation: holder?.incarnation ?? ''
+        holder: claim?.holder ?? '',
+        holderIncarnation: claim?.incarnation ?? ''
       })
     } finally {
       this.inFlight--
--- a/packages/clementineloft/src/lib/sidecar.ts
+++ b/packages/clementineloft/src/lib/sidecar.ts
@@ -27,7 +27,7 @@
     guard.setLeaving(context.isLeaving || isRetired || isListedLeaving)
   }
   context.replica.subscribe(applyLeaving)
-  runtime.admin.subscribeMembership(applyLeaving)
+  context.membership.subscribe(applyLeaving)
   await runtime.start()
   return async () => {
     runtime.startLeaving()
--- a/packages/coordination/src/lib/call-gate.ts
+++ b/packages/coordination/src/lib/call-gate.ts
@@ -4,7 +4,7 @@
  * A call that must not be repeated starts at most once. A repeat that meets a running call waits for it, and one that
  * meets a finished call gets the same answer.
  */
-import { createError, ErrorKind, getErrorOutcome, Outcome } from '@clementineloft/kernel'
+import { createError, ErrorKind, getErrorOutcome, KindError, Outcome } from '@clementineloft/kernel'
 import type { Clock } from '@clementineloft/kernel'
 import type { ClaimRange } from './claim-range.js'
 import type { ClaimEntry } from './claim-records.js'
@@ -41,6 +41,21 @@
   result: Promise<Answer>
 }
 
+/** A key was claimed by another process, which has not recorded an answer. */
+export class ClaimedElsewhereError extends KindError {
+  /** Endpoint that claimed the key. */
+  readonly holder: string
+  /** Process that claimed the key, and may know the answer. */
+  readonly incarnation: string
+
+  constructor (key: string, entry: ClaimEntry<unknown>) {
+    const message = `idempotency key "${key}" was claimed by "${entry.holder}", which has not recorded an answer`
+    super(ErrorKind.outcomeUnknown, message, { outcome: Outcome.unknown })
+    this.holder = entry.holder
+    this.incarnation = entry.incarnation
+  }
+}
+
 /** Guards one plain service. */
 export class CallGate<Call extends GuardedCall, Answer> {
   private readonly records = new Map<string, CallRecord<Answer>>()
@@ -189,7 +204,7 @@
   private getClaimedAnswer (call: Call, entry: ClaimEntry<Answer>): Answer {
     this.checkFingerprint(entry.fingerprint, call)
     if (entry.answer !== undefined) return entry.answer
-    throw createClaimedElsewhereError(call.key, entry)
+    throw new ClaimedElsewhereError(call.key, entry)
   }
 
   private forget (request: string, identity: string, record: CallRecord<Answer>): void {
@@ -197,25 +212,3 @@
     if (this.records.get(identity) === record) this.records.delete(identity)
   }
 }
-
-/** The holder of a claim, as carried by the error that names it. */
-export interface ClaimHolder {
-  holder: string
-  incarnation: string
-}
-
-const holders = new WeakMap<Error, ClaimHolder>()
-
-const createClaimedElsewhereError = (key: string, entry: ClaimEntry<unknown>): Error => {
-  const message = `idempotency key "${key}" was claimed by "${entry.holder}", which has not recorded an answer`
-  const error = createError(ErrorKind.outcomeUnknown, message, { outcome: Outcome.unknown })
-  holders.set(error, { holder: entry.holder, incarnation: entry.incarnation })
-  return error
-}
-
-/**
- * @param error - an error of {@link CallGate.handle}
- * @returns the process that may know the answer, or `undefined`
- */
-export const getClaimHolder = (error: unknown): ClaimHolder | undefined =>
-  error instanceof Error ? holders.get(error) : undefined
--- a/packages/coordination/src/lib/membership.ts
+++ b/packages/coordination/src/lib/membership.ts
@@ -45,6 +45,7 @@
   private readonly leavingIncarnations = new Map<string, string>()
   private readonly incarnations = new Map<string, string>()
   private readonly restartListeners: Array<(name: string) => void> = []
+  private readonly listeners: Array<() => void> = []
 
   /** @param listing - a newer listing */
   apply (listing: InstanceListing): void {
@@ -53,6 +54,12 @@
     for (const name of this.leavingIncarnations.keys()) {
       if (!this.byName.has(name)) this.leavingIncarnations.delete(name)
     }
+    for (const listener of this.listeners) listener()
+  }
+
+  /** @param listener - called after each newer listing */
+  subscribe (listener: () => void): void {
+    this.listeners.push(listener)
   }
 
   /** @returns version of the listing in use */
--- a/packages/kernel/src/lib/errors.ts
+++ b/packages/kernel/src/lib/errors.ts
@@ -69,40 +69,52 @@
   internal: { status: 500, title: 'An internal error occurred' }
 }
 
-interface ErrorInfo {
-  kind?: ErrorKind
+/** What is known of an error besides its message. */
+export interface ErrorOptions {
+  /** The outcome for the caller's request; not run unless given. */
   outcome?: Outcome
+  cause?: unknown
+}
+
+/** An error of this system. Its name is its kind. */
+export class KindError extends VError {
+  readonly outcome: Outcome
+
+  /**
+   * @param kind - kind of the error
+   * @param message - what went wrong, naming the culprit and what to do
+   */
+  constructor (
+    readonly kind: ErrorKind,
+    message: string,
+    options: ErrorOptions = {}
+  ) {
+    super({ name: kind, ...(options.cause instanceof Error ? { cause: options.cause } : {}) }, '%s', message)
+    this.outcome = options.outcome ?? Outcome.notRun
+  }
 }
 
 /**
  * @param kind - kind of the error
  * @param message - what went wrong, naming the culprit and what to do
- * @param options - the outcome for the caller's request (not run unless given) and the cause
- * @returns an error that carries its kind
+ * @param options - outcome and cause
  */
-export const createError = (
-  kind: ErrorKind,
-  message: string,
-  options: { outcome?: Outcome, cause?: unknown } = {}
-): VError => {
-  const cause = options.cause instanceof Error ? options.cause : undefined
-  const info: ErrorInfo = { kind, outcome: options.outcome ?? Outcome.notRun }
-  return new VError({ name: kind, info, ...(cause === undefined ? {} : { cause }) }, '%s', message)
-}
+export const createError = (kind: ErrorKind, message: string, options: ErrorOptions = {}): KindError =>
+  new KindError(kind, message, options)
 
 /**
  * @param error - anything that was thrown
  * @returns its kind; `internal` for what this system did not create
  */
 export const getErrorKind = (error: unknown): ErrorKind =>
-  error instanceof Error ? (VError.info(error) as ErrorInfo).kind ?? ErrorKind.internal : ErrorKind.internal
+  error instanceof KindError ? error.kind : ErrorKind.internal
 
 /**
  * @param error - anything that was thrown
  * @returns the outcome that the error proves; `unknown` for what this system did not create
  */
 export const getErrorOutcome = (error: unknown): Outcome =>
-  error instanceof Error ? (VError.info(error) as ErrorInfo).outcome ?? Outcome.unknown : Outcome.unknown
+  error instanceof KindError ? error.outcome : Outcome.unknown
 
 /**
  * @param error - anything that was thrown
--- a/packages/routing/src/lib/stage-host.ts
+++ b/packages/routing/src/lib/stage-host.ts
@@ -71,6 +71,8 @@
   isEncoding: boolean
   /** Ends when all accepted steps have run. */
   tail: Promise<void>
+  /** Ends the request when its answer is of no use any more. */
+  deadline: Timer | undefined
   isClosed: boolean
 }
 
@@ -192,10 +194,12 @@
       promptRows: [],
       isEncoding: open.prompt !== '',
       tail: Promise.resolve(),
+      deadline: undefined,
       isClosed: false
     }
     this.sessions.set(open.request, hosted)
     this.admission.add(open.team)
+    if (open.deadlineMs > 0) hosted.deadline = this.context.clock.schedule(open.deadlineMs, () => { this.closeSession(hosted) })
     const { request, team } = open
     this.context.journal.record({ name: 'stage-open', request, team, endpoint: this.context.endpoint, detail: `layers ${open.firstLayer}-${open.lastLayer}, attempt ${open.attempt}` })
     if (hosted.isEncoding) await this.encodePrompt(hosted, open)
@@ -326,6 +330,7 @@
   private closeSession (hosted: HostedSession): void {
     if (hosted.isClosed) return
     hosted.isClosed = true
+    hosted.deadline?.cancel()
     this.admission.remove(hosted.session.team)
     if (this.sessions.get(hosted.session.request) === hosted) this.sessions.delete(hosted.session.request)
     this.engine.endSession(hosted.engineSession)
--- a/packages/stand-ins/src/demo.ts
+++ b/packages/stand-ins/src/demo.ts
@@ -1,12 +1,8 @@
 /**
  * The demo: starts a small system on loopback, sends a chat request and a booking, checks both, and stops everything.
  */
-import { mkdtempSync } from 'node:fs'
-import { tmpdir } from 'node:os'
-import { join } from 'node:path'
 import { callService, isCorrect, streamChat } from './lib/caller.js'
 import { DemoFleet } from './lib/demo-fleet.js'
-import { programCommand, standInCommand } from './lib/program-paths.js'
 
 const prompt = 'Plan a walk for three dogs along the river.'
 const maxTokens = 24
@@ -38,17 +34,7 @@
   return isRight && isBookedOnce
 }
 
-const fleet = new DemoFleet({
-  program: programCommand,
-  standIn: standInCommand,
-  folder: mkdtempSync(join(tmpdir(), 'clementineloft-demo-')),
-  entries: 2,
-  stages: [[0, 3], [4, 7], [8, 11]],
-  copies: 2,
-  workers: 1,
-  engineStepMs: 2,
-  bookingMs: 2
-})
+const fleet = new DemoFleet({ entries: 2, copies: 2, engineStepMs: 2, bookingMs: 2 })
 
 let isGood = false
 try {
--- a/packages/stand-ins/src/faults/call-faults.ts
+++ b/packages/stand-ins/src/faults/call-faults.ts
@@ -5,12 +5,12 @@
 import { callService } from '../lib/caller.js'
 import type { CalledAnswer } from '../lib/caller.js'
 import type { DemoFleet } from '../lib/demo-fleet.js'
-import { waitForUrl } from '../lib/process-group.js'
-import { createFaultFleet, waitMs } from './fault-case.js'
+import { createFaultFleet, restartProgram, startAgain, waitMs } from './fault-case.js'
 import type { FaultCase, FaultResult, FaultSuite } from './fault-case.js'
 
 const recoveryBoundMs = 1000
 const freezeBoundMs = 3000
+const cooldownMs = 3200
 const path = '/bookings/slots'
 const runId = process.pid
 
@@ -77,13 +77,10 @@
   return counts
 }
 
+/** Starts a sidecar again, and waits until entries no longer avoid it. */
 const restartSidecar = async (fleet: DemoFleet, name: string): Promise<void> => {
-  fleet.processes.signal(name, 'SIGCONT')
-  fleet.processes.signal(name, 'SIGKILL')
-  await fleet.processes.waitForEnd(name)
-  fleet.startProgram(name)
-  await waitForUrl(`${fleet.find(name).adminUrl}/readyz`)
-  await waitMs(3200)
+  await restartProgram(fleet, name)
+  await waitMs(cooldownMs)
 }
 
 /** Books at a steady pace of each kind while a harm is done, and measures how long each later booking takes. */
@@ -170,10 +167,9 @@
         await fleet.processes.waitForEnd(worker.name)
         const repeats = await Promise.all(first.map(async (_, index) => await log.book({ id: `r-${runId}-${index}`, key: `rk-${runId}-${index}`, entry: 1 })))
         same += repeats.filter((answer, index) => answer.body['number'] === first[index]?.body['number']).length
-        fleet.startProgram(worker.name)
-        await waitForUrl(`${worker.adminUrl}/readyz`)
+        await startAgain(fleet, worker.name)
       }
-      await waitMs(3200)
+      await waitMs(cooldownMs)
       const verdict = await log.judge(await readLedgers(fleet))
       return { isKept: verdict.isKept && same === 90, seen: `${same} of 90 repeats got the first answer; ${verdict.seen}`, recoveryMs: [] }
     }
--- a/packages/stand-ins/src/faults/fault-case.ts
+++ b/packages/stand-ins/src/faults/fault-case.ts
@@ -1,11 +1,10 @@
 /**
  * A case of failure that is brought about on real processes.
  */
-import { mkdtempSync } from 'node:fs'
-import { tmpdir } from 'node:os'
-import { join } from 'node:path'
 import { DemoFleet } from '../lib/demo-fleet.js'
-import { programCommand, standInCommand } from '../lib/program-paths.js'
+import { waitForUrl } from '../lib/process-group.js'
+
+const defaultGraceMs = 20_000
 
 /** What came of a case. */
 export interface FaultResult {
@@ -41,18 +40,23 @@
  * @param workers - endpoints of the booking service
  * @param graceMs - grace period of a shutdown, in milliseconds
  */
-export const createFaultFleet = (copies: number, workers: number, graceMs?: number): DemoFleet => new DemoFleet({
-  program: programCommand,
-  standIn: standInCommand,
-  folder: mkdtempSync(join(tmpdir(), 'clementineloft-faults-')),
-  entries: 2,
-  stages: [[0, 3], [4, 7], [8, 11]],
-  copies,
-  workers,
-  engineStepMs: 3,
-  bookingMs: 20,
-  ...(graceMs === undefined ? {} : { graceMs })
-})
+export const createFaultFleet = (copies: number, workers: number, graceMs = defaultGraceMs): DemoFleet =>
+  new DemoFleet({ entries: 2, copies, workers, engineStepMs: 3, bookingMs: 20, hasRelays: true, graceMs })
+
+/** Ends a process of the program and starts it again, and waits until it is ready. */
+export const restartProgram = async (fleet: DemoFleet, name: string): Promise<void> => {
+  fleet.processes.signal(name, 'SIGCONT')
+  fleet.processes.signal(name, 'SIGKILL')
+  await startAgain(fleet, name)
+}
+
+/** Waits until a process of the program has ended, starts it again, and waits until it is ready. */
+export const startAgain = async (fleet: DemoFleet, name: string): Promise<number | null> => {
+  const code = await fleet.processes.waitForEnd(name)
+  fleet.startProgram(name)
+  await waitForUrl(`${fleet.find(name).adminUrl}/readyz`)
+  return code
+}
 
 /** Waits in real time. */
 export const waitMs = (durationMs: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, durationMs) })
--- a/packages/stand-ins/src/faults/system-faults.ts
+++ b/packages/stand-ins/src/faults/system-faults.ts
@@ -6,8 +6,7 @@
 import type { DemoFleet, FleetMember } from '../lib/demo-fleet.js'
 import { rivalKey } from '../lib/demo-fleet.js'
 import { crashWord } from '../lib/engine-server.js'
-import { waitForUrl } from '../lib/process-group.js'
-import { createFaultFleet, waitMs, waitUntil } from './fault-case.js'
+import { createFaultFleet, restartProgram, startAgain, waitMs, waitUntil } from './fault-case.js'
 import type { FaultCase, FaultSuite } from './fault-case.js'
 
 const maxTokens = 40
@@ -92,9 +91,7 @@
     recoveryBoundMs: leavingBoundMs,
     run: async (fleet) => {
       const result = await measureLeaving(fleet, 'stage-1a', async () => { fleet.processes.signal('stage-1a', 'SIGTERM') })
-      await fleet.processes.waitForEnd('stage-1a')
-      fleet.startProgram('stage-1a')
-      await waitForUrl(`${fleet.find('stage-1a').adminUrl}/readyz`)
+      await startAgain(fleet, 'stage-1a')
       return result
     }
   },
@@ -105,10 +102,7 @@
     run: async (fleet) => {
       const result = await measureLeaving(fleet, 'stage-1b', async () => { await fleet.listAs('stage-1b', 'leaving') })
       await fleet.listAs('stage-1b', 'live')
-      fleet.processes.signal('stage-1b', 'SIGKILL')
-      await fleet.processes.waitForEnd('stage-1b')
-      fleet.startProgram('stage-1b')
-      await waitForUrl(`${fleet.find('stage-1b').adminUrl}/readyz`)
+      await restartProgram(fleet, 'stage-1b')
       return result
     }
   },
@@ -133,11 +127,7 @@
       for (const name of leaving) fleet.processes.signal(name, 'SIGTERM')
       const answers = (await streaming).map((answer, index) => ({ prompt: prompts[index] as string, answer }))
       const wrong = countWrong(fleet, answers, longTokens)
-      for (const name of leaving) {
-        await fleet.processes.waitForEnd(name)
-        fleet.startProgram(name)
-        await waitForUrl(`${fleet.find(name).adminUrl}/readyz`)
-      }
+      for (const name of leaving) await startAgain(fleet, name)
       return { isKept: wrong === 0, seen: `${answers.length} streams, ${wrong} cut or wrong`, recoveryMs: [] }
     }
   },
@@ -152,9 +142,7 @@
       fleet.processes.signal(entry.name, 'SIGTERM')
       const answers = (await streaming).map((answer, index) => ({ prompt: prompts[index] as string, answer }))
       const wrong = countWrong(fleet, answers, 200)
-      const code = await fleet.processes.waitForEnd(entry.name)
-      fleet.startProgram(entry.name)
-      await waitForUrl(`${entry.adminUrl}/readyz`)
+      const code = await startAgain(fleet, entry.name)
       return { isKept: wrong === 0 && code === 0, seen: `${wrong} of 20 streams cut, exit code ${code}`, recoveryMs: [] }
     }
   },
--- a/packages/stand-ins/src/lib/demo-fleet.ts
+++ b/packages/stand-ins/src/lib/demo-fleet.ts
@@ -1,39 +1,48 @@
 /**
  * A whole system on loopback: entries, sidecars, engines, booking services and the platform, each a process.
  */
-import { writeFileSync } from 'node:fs'
+import { mkdtempSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import type { Instance } from '@clementineloft/coordination'
 import { computeDigest } from '@clementineloft/kernel'
 import type { ConfigDocument } from 'clementineloft'
 import { Relay } from './relay.js'
 import { ProcessGroup, waitForUrl } from './process-group.js'
+import { programCommand, standInCommand } from './program-paths.js'
 
-/** Size of a fleet. */
+/** Size and settings of a fleet. */
 export interface FleetOptions {
-  /** Command that runs the program, such as `['node', 'main.js']`. */
-  program: readonly string[]
-  /** Command that runs a stand-in. */
-  standIn: readonly string[]
-  /** Folder for settings and logs. */
-  folder: string
   entries: number
   /** First and last layer of each stage. */
   stages: ReadonlyArray<readonly [number, number]>
   /** Endpoints for each stage. */
   copies: number
+  /** Endpoints of the booking service. */
   workers: number
   engineStepMs: number
   bookingMs: number
   /** Grace period of a shutdown, in milliseconds. */
-  graceMs?: number
+  graceMs: number
+  /** Whether a relay stands before each sidecar, to cut its link. */
+  hasRelays: boolean
+  /** Time between two reads of the instance list, in milliseconds. */
+  listIntervalMs: number
   /** Files of mutual TLS; plain text unless given. */
   tls?: { caFile: string, certFile: string, keyFile: string }
-  /** Time between two reads of the instance list, in milliseconds; 500 unless given, so that tests are quick. */
-  listIntervalMs?: number
-  /** Whether a relay stands before each sidecar, to cut its link; true unless given. */
-  hasRelays?: boolean
+}
+
+const defaultOptions: FleetOptions = {
+  entries: 1,
+  stages: [[0, 3], [4, 7], [8, 11]],
+  copies: 1,
+  workers: 1,
+  engineStepMs: 0,
+  bookingMs: 0,
+  graceMs: 20_000,
+  hasRelays: false,
+  listIntervalMs: 500
 }
 
 /** Addresses of one process. */
@@ -56,8 +65,6 @@
 
 const host = '127.0.0.1'
 const dataCentre = 'saskatoon'
-const defaultGraceMs = 20_000
-const defaultListIntervalMs = 500
 
 /** @returns ports that were free a moment ago */
 const findPorts = async (count: number): Promise<number[]> => {
@@ -84,9 +91,15 @@
   private instances: Instance[] = []
   private ports: number[] = []
 
-  constructor (private readonly options: FleetOptions) {
-    this.processes = new ProcessGroup(options.folder)
-    this.layers = Math.max(...options.stages.map(([, lastLayer]) => lastLayer)) + 1
+  private readonly options: FleetOptions
+  /** Folder of settings and logs. */
+  private readonly folder = mkdtempSync(join(tmpdir(), 'clementineloft-fleet-'))
+
+  /** @param options - what departs from one entry, one endpoint for each of three stages, and one booking service */
+  constructor (options: Partial<FleetOptions> = {}) {
+    this.options = { ...defaultOptions, ...options }
+    this.processes = new ProcessGroup(this.folder)
+    this.layers = Math.max(...this.options.stages.map(([, lastLayer]) => lastLayer)) + 1
   }
 
   /** Starts all processes and waits until every entry is ready. */
@@ -95,7 +108,7 @@
     this.ports = await findPorts(1 + entries * 3 + (stages.length * copies + workers) * 4)
     const platformPort = this.takePort()
     this.platformUrl = `http://${host}:${platformPort}`
-    this.processes.start('platform', [...this.options.standIn, 'platform', String(platformPort)])
+    this.processes.start('platform', [...standInCommand, 'platform', String(platformPort)])
     await waitForUrl(`${this.platformUrl}/calls`)
     this.planMembers()
     await this.control({ instances: this.instances })
@@ -122,13 +135,13 @@
   /** Starts an entry or sidecar of the fleet, the first time or again. */
   startProgram (name: string): void {
     const role = name.startsWith('entry') ? 'entry' : 'sidecar'
-    this.processes.start(name, [...this.options.program, role, join(this.options.folder, `${name}.toml`)])
+    this.processes.start(name, [...programCommand, role, join(this.folder, `${name}.toml`)])
   }
 
   /** Starts the engine beside a sidecar, the first time or again. */
   startEngine (name: string): void {
     const port = new URL(this.find(name).url).port
-    this.processes.start(`${name}-engine`, [...this.options.standIn, 'engine', port, String(this.options.engineStepMs)])
+    this.processes.start(`${name}-engine`, [...standInCommand, 'engine', port, String(this.options.engineStepMs)])
   }
 
   /** Changes what is wrong with the platform, or what its list shows. */
@@ -146,7 +159,7 @@
 
   private startService (name: string): void {
     const port = new URL(this.find(name).url).port
-    this.processes.start(`${name}-service`, [...this.options.standIn, 'booking', port, String(this.options.bookingMs)])
+    this.processes.start(`${name}-service`, [...standInCommand, 'booking', port, String(this.options.bookingMs)])
   }
 
   private takePort (): number {
@@ -171,12 +184,12 @@
     const { tls } = this.options
     const role = kind === 'entry' ? 'entry' : 'sidecar'
     const beside = kind === 'entry' ? `[callers]\naddress = "${other}"\n` : `[${kind}]\nurl = "http://${other}"\n${kind === 'engine' ? 'takes_orders = true\n' : ''}`
-    writeFileSync(join(this.options.folder, `${name}.toml`), [
+    writeFileSync(join(this.folder, `${name}.toml`), [
       `role = "${role}"\n`,
       `[instance]\nname = "${name}"\ndata_centre = "${dataCentre}"\naddress = "${address}"\nadmin_address = "${admin}"\n`,
-      `[platform]\nstore_url = "${this.platformUrl}"\nlist_url = "${this.platformUrl}"\nlist_interval_ms = ${this.options.listIntervalMs ?? defaultListIntervalMs}\n`,
+      `[platform]\nstore_url = "${this.platformUrl}"\nlist_url = "${this.platformUrl}"\nlist_interval_ms = ${this.options.listIntervalMs}\n`,
       tls === undefined ? '' : `[tls]\nca_file = "${tls.caFile}"\ncert_file = "${tls.certFile}"\nkey_file = "${tls.keyFile}"\n`,
-      `[shutdown]\ngrace_ms = ${this.options.graceMs ?? defaultGraceMs}\n`,
+      `[shutdown]\ngrace_ms = ${this.options.graceMs}\n`,
       beside
     ].join('\n'))
     this.instances.push({ name, role, address: role === 'entry' ? address : this.startRelay(name, address), dataCentre, state: 'live' })
@@ -184,7 +197,7 @@
   }
 
   private startRelay (name: string, address: string): string {
-    if (this.options.hasRelays === false) return address
+    if (!this.options.hasRelays) return address
     const port = this.takePort()
     this.relays.set(name, new Relay(port, Number(address.split(':')[1])))
     return `${host}:${port}`
--- a/packages/stand-ins/src/measure/capacity-slopes.ts
+++ b/packages/stand-ins/src/measure/capacity-slopes.ts
@@ -1,11 +1,8 @@
 /**
  * Slopes of control and data path, measured on the real code with small stand-ins of the peers.
  */
-import { mkdtempSync } from 'node:fs'
 import { connect, createServer } from 'node:net'
 import type { Server, Socket } from 'node:net'
-import { tmpdir } from 'node:os'
-import { join } from 'node:path'
 import { spawn } from 'node:child_process'
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
@@ -15,7 +12,6 @@
 import { createChannelCredentials, EndpointDirectory, GrpcPeerTransport, HttpInstanceList, KeyIndex, LinkListener, LinkPool, ProcessContext } from 'clementineloft/internals'
 import type { CommonSettings, ConfigDocument } from 'clementineloft/internals'
 import { DemoFleet } from '../lib/demo-fleet.js'
-import { programCommand, standInCommand } from '../lib/program-paths.js'
 
 setFlagsFromString('--expose-gc')
 const collectGarbage = runInNewContext('gc') as () => void
@@ -194,19 +190,7 @@
 
 /** Measures on a small fleet of real processes. */
 export const measureProcesses = async (): Promise<ProcessSlopes> => {
-  const fleet = new DemoFleet({
-    program: programCommand,
-    standIn: standInCommand,
-    folder: mkdtempSync(join(tmpdir(), 'clementineloft-capacity-')),
-    entries: 1,
-    stages: [[0, 3]],
-    copies: 1,
-    workers: 0,
-    engineStepMs: 0,
-    bookingMs: 0,
-    hasRelays: false,
-    listIntervalMs: 5000
-  })
+  const fleet = new DemoFleet({ stages: [[0, 3]], workers: 0, listIntervalMs: 5000 })
   await fleet.start()
   const [entry, sidecar] = [fleet.entries[0] as DemoFleet['entries'][number], fleet.sidecars[0] as DemoFleet['sidecars'][number]]
   const relay = new CountingRelay()
--- a/packages/stand-ins/src/measure/measure-path.ts
+++ b/packages/stand-ins/src/measure/measure-path.ts
@@ -1,9 +1,6 @@
 /**
  * Time and processor time that entry and sidecars add to each token, and two ways to carry activations.
  */
-import { mkdtempSync } from 'node:fs'
-import { tmpdir } from 'node:os'
-import { join } from 'node:path'
 import { Server, ServerCredentials } from '@grpc/grpc-js'
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import { createIdentifier } from '@clementineloft/kernel'
@@ -13,7 +10,6 @@
 import { streamChat } from '../lib/caller.js'
 import { DemoFleet, demoModel } from '../lib/demo-fleet.js'
 import { encodeText } from '../lib/model-fold.js'
-import { programCommand, standInCommand } from '../lib/program-paths.js'
 import { computeQuantile } from './table.js'
 import type { MeasuredTable } from './table.js'
 
@@ -22,18 +18,7 @@
 const streams = 48
 const prompt = 'Measure the path of one token through three stages.'
 
-const createFleet = (): DemoFleet => new DemoFleet({
-  program: programCommand,
-  standIn: standInCommand,
-  folder: mkdtempSync(join(tmpdir(), 'clementineloft-measure-')),
-  entries: 1,
-  stages: [[0, 3], [4, 7], [8, 11]],
-  copies: 1,
-  workers: 1,
-  engineStepMs: 0,
-  bookingMs: 0,
-  hasRelays: false
-})
+const createFleet = (): DemoFleet => new DemoFleet()
 
 /** Calls the engines one after the other, without the router. */
 const measureDirect = async (fleet: DemoFleet): Promise<number[]> => {
--- a/packages/stand-ins/src/test/callers_test.ts
+++ b/packages/stand-ins/src/test/callers_test.ts
@@ -13,19 +13,9 @@
 import { callOperator } from '../lib/caller.js'
 import { DemoFleet, demoKey, demoModel } from '../lib/demo-fleet.js'
 import { computeAnswer } from '../lib/model-fold.js'
-import { programCommand, standInCommand } from '../lib/program-paths.js'
+import { programCommand } from '../lib/program-paths.js'
 
-const fleet = new DemoFleet({
-  program: programCommand,
-  standIn: standInCommand,
-  folder: mkdtempSync(join(tmpdir(), 'clementineloft-callers-')),
-  entries: 2,
-  stages: [[0, 3], [4, 7], [8, 11]],
-  copies: 1,
-  workers: 1,
-  engineStepMs: 2,
-  bookingMs: 0
-})
+const fleet = new DemoFleet({ entries: 2, engineStepMs: 2 })
 let url = ''
 let admin = ''
 
@@ -148,7 +138,7 @@
   const names = stdout.trim().split('\n').map((line) => line.split(' ')[2])
   assert.deepEqual([names[0], names.at(-1)], ['request-accepted', 'request-done'])
   assert.equal(names.filter((name) => name === 'stage-open').length, 3)
-  const trace = join(fleet.processes.folder, 'trace.json')
+  const trace = join(mkdtempSync(join(tmpdir(), 'clementineloft-trace-')), 'trace.json')
   await runProgram('timeline', ...admins, '--chrome', trace)
   assert.ok((JSON.parse(readFileSync(trace, 'utf8')) as { traceEvents: unknown[] }).traceEvents.length > 0)
 })
--- a/packages/stand-ins/src/test/tls_test.ts
+++ b/packages/stand-ins/src/test/tls_test.ts
@@ -11,7 +11,6 @@
 import type { CommonSettings } from 'clementineloft/internals'
 import { isCorrect, streamChat } from '../lib/caller.js'
 import { DemoFleet } from '../lib/demo-fleet.js'
-import { programCommand, standInCommand } from '../lib/program-paths.js'
 
 const folder = mkdtempSync(join(tmpdir(), 'clementineloft-tls-'))
 const tls = { caFile: join(folder, 'ca.pem'), certFile: join(folder, 'cert.pem'), keyFile: join(folder, 'key.pem') }
@@ -25,18 +24,7 @@
   runOpenssl('x509', '-req', '-in', 'request.pem', '-CA', 'ca.pem', '-CAkey', 'ca-key.pem', '-CAcreateserial', '-out', 'cert.pem', '-days', '2', '-extfile', 'extensions')
 }
 
-const fleet = new DemoFleet({
-  program: programCommand,
-  standIn: standInCommand,
-  folder,
-  entries: 1,
-  stages: [[0, 3], [4, 7]],
-  copies: 1,
-  workers: 0,
-  engineStepMs: 0,
-  bookingMs: 0,
-  tls
-})
+const fleet = new DemoFleet({ stages: [[0, 3], [4, 7]], workers: 0, tls })
 
 before(async () => {
   createCertificates()
