--- a/packages/clementineloft/src/lib/process-context.ts
+++ b/packages/clementineloft/src/lib/process-context.ts
@@ -10,7 +10,8 @@
 import type { ConfigDocument } from './config-document.js'
 import type { CommonSettings } from './settings-schema.js'
 
-const journalCapacity = 20_000
+/** Events that each process keeps for the time line. */
+export const journalCapacity = 10_000
 const logLevels = { debug: 2, info: 3, warn: 4, error: 5 } as const
 
 /** Shared parts of one process. */
--- a/packages/stand-ins/src/capacity.ts
+++ b/packages/stand-ins/src/capacity.ts
@@ -39,6 +39,7 @@
     ['heap for each team', `${state.perTeam.toFixed(0)} B`, 'configuration replica, key index', 'coordination/config-replica, clementineloft/authenticate'],
     ['heap for each endpoint', `${state.perEndpoint.toFixed(0)} B`, 'configuration, flow graph, subset', 'routing/model-graph, clementineloft/endpoint-directory'],
     ['heap for each instance', `${state.perInstance.toFixed(0)} B`, 'instance list', 'coordination/membership'],
+    ['journal when full', `${(state.journalBytes / bytesPerMegabyte).toFixed(1)} MB`, 'ring of events', 'kernel/journal'],
     ['memory for each link, calling side', `${processes.linkHeldBytes.toFixed(0)} B`, 'stream of frames', 'clementineloft/stage-link'],
     ['memory for each link, serving side', `${processes.linkServedBytes.toFixed(0)} B`, 'stream of frames', 'clementineloft/stage-sidecar'],
     ['one comparison of revisions', `${processes.exchangeBytes.toFixed(0)} B, ${processes.exchangeCalledMicroseconds.toFixed(0)} µs calling, ${processes.exchangeServedMicroseconds.toFixed(0)} µs serving`, 'kept neighbours', 'coordination/config-spread, clementineloft/peer-service'],
@@ -54,7 +55,8 @@
 })
 
 const computeStateMegabytes = (state: StateSlopes): number =>
-  (target.teams * state.perTeam + target.workers * state.perEndpoint + instances * state.perInstance + state.documentBytes) / bytesPerMegabyte
+  (target.teams * state.perTeam + target.workers * state.perEndpoint + instances * state.perInstance +
+    state.documentBytes + state.journalBytes) / bytesPerMegabyte
 
 const computeControlBytes = (state: StateSlopes, processes: ProcessSlopes): number => {
   const exchanges = 2 * exchangesPerSecond * (processes.exchangeBytes + packetsPerExchange * packetBytes)
--- a/packages/stand-ins/src/measure.ts
+++ b/packages/stand-ins/src/measure.ts
@@ -1,5 +1,5 @@
 /**
- * Prints measurements. `measure.js NAME…` runs only those named.
+ * Prints measurements. `measure.js NAME…` runs only those named; `--pictures FOLDER` draws them too.
  */
 import { measureClaims } from './measure/measure-claims.js'
 import { measureShares, measureWaiting } from './measure/measure-fairness.js'
@@ -7,22 +7,34 @@
 import { measurePicking } from './measure/measure-picking.js'
 import { measurePath, measurePathCostTable } from './measure/measure-path.js'
 import { measureSpread } from './measure/measure-spread.js'
+import { writePicture } from './measure/picture.js'
+import type { PictureOptions } from './measure/picture.js'
 import { formatTable } from './measure/table.js'
 import type { MeasuredTable } from './measure/table.js'
 
-const measurements: Record<string, () => Promise<MeasuredTable> | MeasuredTable> = {
-  picking: measurePicking,
-  waiting: measureWaiting,
-  shares: measureShares,
-  overload: measureOverload,
-  claims: measureClaims,
-  spread: measureSpread,
-  path: measurePath,
-  cost: measurePathCostTable
+interface Measurement {
+  measure: () => Promise<MeasuredTable> | MeasuredTable
+  picture?: PictureOptions
 }
 
-const wanted = process.argv.slice(2)
-for (const [name, measure] of Object.entries(measurements)) {
+const measurements: Record<string, Measurement> = {
+  picking: { measure: measurePicking, picture: { label: 0, values: [1, 2, 3, 4], axis: 'share of the maximum flow, %' } },
+  waiting: { measure: measureWaiting },
+  shares: { measure: measureShares, picture: { label: 0, values: [6], axis: 'worst deviation from the share that is due, %' } },
+  overload: { measure: measureOverload },
+  claims: { measure: measureClaims, picture: { label: 0, values: [1], axis: 'store writes a second' } },
+  spread: { measure: measureSpread, picture: { label: 0, values: [2, 3], axis: 'milliseconds' } },
+  path: { measure: measurePath, picture: { label: 0, values: [1, 2, 3], axis: 'milliseconds' } },
+  cost: { measure: measurePathCostTable }
+}
+
+const pictureOption = '--pictures'
+const args = process.argv.slice(2)
+const folder = args.includes(pictureOption) ? args[args.indexOf(pictureOption) + 1] : undefined
+const wanted = args.filter((arg) => arg !== pictureOption && arg !== folder)
+for (const [name, { measure, picture }] of Object.entries(measurements)) {
   if (wanted.length > 0 && !wanted.includes(name)) continue
-  process.stdout.write(`${formatTable(await measure())}\n`)
+  const table = await measure()
+  process.stdout.write(`${formatTable(table)}\n`)
+  if (folder !== undefined && picture !== undefined) await writePicture(table, picture, folder, name)
 }
--- a/packages/stand-ins/src/measure/capacity-slopes.ts
+++ b/packages/stand-ins/src/measure/capacity-slopes.ts
@@ -8,8 +8,8 @@
 import { runInNewContext } from 'node:vm'
 import { ConfigReplica, createNextSnapshot, Membership } from '@clementineloft/coordination'
 import type { ConfigSnapshot, Instance } from '@clementineloft/coordination'
-import { computeDigest, ManualClock } from '@clementineloft/kernel'
-import { createChannelCredentials, EndpointDirectory, GrpcPeerTransport, HttpInstanceList, KeyIndex, LinkListener, LinkPool, ProcessContext } from 'clementineloft/internals'
+import { computeDigest, createIdentifier, HybridClock, Journal, ManualClock } from '@clementineloft/kernel'
+import { createChannelCredentials, EndpointDirectory, GrpcPeerTransport, HttpInstanceList, journalCapacity, KeyIndex, LinkListener, LinkPool, ProcessContext } from 'clementineloft/internals'
 import type { CommonSettings, ConfigDocument } from 'clementineloft/internals'
 import { DemoFleet } from '../lib/demo-fleet.js'
 
@@ -88,6 +88,8 @@
   perTeam: number
   perEndpoint: number
   perInstance: number
+  /** The journal when it is full, in bytes. */
+  journalBytes: number
   /** Size of the document as JSON at the size of the target. */
   documentBytes: number
   /** Size of one change as a delta. */
@@ -96,6 +98,14 @@
   applyMs: number
 }
 
+const createFullJournal = (): Journal => {
+  const journal = new Journal('entry-1', new HybridClock(new ManualClock()), journalCapacity)
+  for (let index = 0; index < journalCapacity; index++) {
+    journal.record({ name: 'stage-open', request: createIdentifier(), team: 'team-1', endpoint: 'endpoint-1', detail: `layers 0-7, attempt ${index}` })
+  }
+  return journal
+}
+
 /** Measures heap by building the same state at two sizes. */
 export const measureState = (): StateSlopes => {
   const none: Instance[] = []
@@ -116,6 +126,7 @@
     perTeam,
     perEndpoint,
     perInstance: (withInstances - base) / 1300,
+    journalBytes: measureHeap(createFullJournal),
     documentBytes: JSON.stringify(document).length,
     deltaBytes: JSON.stringify(next.changes).length,
     applyMs: (performance.now() - startedMs) / repetitions
