Refuse keyed calls where the key ranges are not known

Cause, found by reading: a sidecar without a configuration took 16 ranges of a service without a name; a keyed call that reached it would have been claimed in another object than everyone else's and could have run twice. Ruled out: relying on entries not to route to it. Before: guessed. After: refused as not run, with a test; the write pace of all ranges together is tested too. An unused way to move runs is gone. Conclusion: no key is claimed by a guess.

--- a/packages/clementineloft/src/lib/call-router.ts
+++ b/packages/clementineloft/src/lib/call-router.ts
@@ -3,13 +3,14 @@
  */
 import { parseTicket, rankCandidates } from '@clementineloft/coordination'
 import {
-  computeHash32, createError, createIdentifier, ErrorKind, getErrorMessage, getErrorOutcome, KindError, Outcome
+  createError, createIdentifier, ErrorKind, getErrorMessage, getErrorOutcome, KindError, Outcome
 } from '@clementineloft/kernel'
 import { RetryBudget } from '@clementineloft/routing'
 import type { clementineloft as wire } from '../../generated/wire.js'
 import type { ServiceConfig } from './config-document.js'
 import type { EndpointDirectory, ServiceEndpoint } from './endpoint-directory.js'
 import { peerService, sidecarService } from './grpc-services.js'
+import { computeRangeIndex } from './key-ranges.js'
 import type { NodeRuntime } from './node-runtime.js'
 import { UnaryClient } from './unary-client.js'
 
@@ -90,7 +91,7 @@
   async route (call: RoutedCall): Promise<wire.CallReply> {
     const ticket = parseTicket(call.key)
     if (ticket !== undefined) return await this.routeTicket(call, ticket.endpoint, ticket.incarnation)
-    const range = computeHash32(`${call.service}/${call.team} ${call.key}`) % call.config.keyRanges
+    const range = computeRangeIndex(`${call.service}/${call.team} ${call.key}`, call.config.keyRanges)
     const placement = call.key === '' ? call.request : `${call.service}/${range}`
     const tried = new Set<string>()
     let lastError: unknown = createError(ErrorKind.noCapacity, `no endpoint of service "${call.service}" is available`)
--- a/packages/clementineloft/src/lib/plain-service.ts
+++ b/packages/clementineloft/src/lib/plain-service.ts
@@ -7,6 +7,7 @@
 /** A call to forward. */
 export interface ServiceCall extends GuardedCall {
   team: string
+  service: string
   method: string
   /** Time after which the answer is of no use, in milliseconds from the arrival. */
   deadlineMs: number
--- a/packages/clementineloft/src/lib/service-sidecar.ts
+++ b/packages/clementineloft/src/lib/service-sidecar.ts
@@ -5,7 +5,7 @@
 import type { sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js'
 import { CallGate, CallRunner, ClaimedElsewhereError, ClaimRange, TicketIssuer } from '@clementineloft/coordination'
 import {
-  computeHash32, createError, ErrorKind, getErrorKind, getErrorMessage, getErrorOutcome, Outcome
+  createError, ErrorKind, getErrorKind, getErrorMessage, getErrorOutcome, Outcome
 } from '@clementineloft/kernel'
 import type { Clock } from '@clementineloft/kernel'
 import { createFairQueueClass } from '@clementineloft/routing'
@@ -14,14 +14,11 @@
 import { plainServices } from './adapters.js'
 import { computeWeight } from './config-document.js'
 import { sidecarService } from './grpc-services.js'
+import { findKeyRange } from './key-ranges.js'
 import type { NodeRuntime } from './node-runtime.js'
 import type { PlainService, ServiceAnswer, ServiceCall } from './plain-service.js'
 import type { SidecarSettings } from './settings-schema.js'
 
-const defaultKeyRanges = 16
-const defaultClaimWritesPerSecond = 200
-const millisecondsPerSecond = 1000
-
 type ServiceSettings = NonNullable<SidecarSettings['service']>
 
 /** Runs calls in fair order between teams. */
@@ -70,7 +67,7 @@
     const getWeight = (team: string): number => computeWeight(replica.getDocument()?.teams[team])
     const runner = new QueuedRunner(service, clock, settings.max_in_flight, getWeight)
     this.gate = new CallGate(
-      this.endpoint, runner, (key) => this.findRange(key), this.tickets, clock, settings.retention_ms
+      this.endpoint, runner, (call, key) => this.findRange(call.service, key), this.tickets, clock, settings.retention_ms
     )
     runtime.addService(sidecarService, {
       call: (call: ServerUnaryCall<wire.CallRequest, wire.ICallReply>, callback: sendUnaryData<wire.ICallReply>) => {
@@ -101,20 +98,16 @@
     return this.inFlight
   }
 
-  private findRange (scopedKey: string): ClaimRange<ServiceAnswer> {
+  private findRange (service: string, scopedKey: string): ClaimRange<ServiceAnswer> {
     const { context, store } = this.runtime
-    const document = context.replica.getDocument()
-    const service = document?.endpoints[this.endpoint]?.service ?? ''
-    const keyRanges = document?.services[service]?.keyRanges ?? defaultKeyRanges
-    const writesPerSecond = document?.services[service]?.claimWritesPerSecond ?? defaultClaimWritesPerSecond
-    const storeKey = `claims/${service}/${computeHash32(scopedKey) % keyRanges}`
+    const { storeKey, writeIntervalMs } = findKeyRange(context.replica.getDocument(), service, scopedKey)
     const known = this.ranges.get(storeKey)
     if (known !== undefined) return known
     const range = new ClaimRange<ServiceAnswer>(store, storeKey, context.clock, {
       holder: this.endpoint,
       incarnation: context.incarnation,
       retentionMs: this.settings.retention_ms,
-      writeIntervalMs: millisecondsPerSecond * keyRanges / writesPerSecond
+      writeIntervalMs
     })
     this.ranges.set(storeKey, range)
     return range
@@ -122,7 +115,7 @@
 
   private parseCall (message: wire.CallRequest): ServiceCall {
     const { request, team, service, key, fingerprint, isIdempotent, method, deadlineMs, path, headers, body } = message
-    return { request, scope: `${service}/${team}`, key, fingerprint, isIdempotent, team, method, deadlineMs, path, headers, body }
+    return { request, scope: `${service}/${team}`, key, fingerprint, isIdempotent, team, service, method, deadlineMs, path, headers, body }
   }
 
   /** A message that was meant for an earlier process at this address proves nothing about that process. */
--- /dev/null
+++ b/packages/clementineloft/src/test/key-ranges_test.ts
@@ -0,0 +1,18 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { ErrorKind, getErrorKind, getErrorOutcome, Outcome } from '@clementineloft/kernel'
+import type { ConfigDocument } from '../lib/config-document.js'
+import { findKeyRange } from '../lib/key-ranges.js'
+
+test('without a configuration a key is refused as not run, since a guess would miss claims', () => {
+  assert.throws(() => findKeyRange(undefined, 's', 's/team key'), (error) =>
+    getErrorKind(error) === ErrorKind.notReady && getErrorOutcome(error) === Outcome.notRun)
+})
+
+test('all ranges of a service together stay within its budget of writes', () => {
+  const document: ConfigDocument = {
+    teams: {}, models: {}, endpoints: {}, links: [], services: { s: { idempotentMethods: [], keyRanges: 16, claimWritesPerSecond: 100 } }
+  }
+  const { writeIntervalMs } = findKeyRange(document, 's', 's/team key')
+  assert.equal(16 * 1000 / writeIntervalMs, 100)
+})
--- a/packages/coordination/src/lib/call-gate.ts
+++ b/packages/coordination/src/lib/call-gate.ts
@@ -29,8 +29,8 @@
   abstract run (call: Call): Promise<Answer>
 }
 
-/** Gives the key range that a key belongs to. */
-export type FindRange<Answer> = (scopedKey: string) => ClaimRange<Answer>
+/** Gives the key range that a call's key belongs to; an error keeps the call from running. */
+export type FindRange<Call, Answer> = (call: Call, scopedKey: string) => ClaimRange<Answer>
 
 interface CallRecord<Answer> {
   fingerprint: string
@@ -70,7 +70,7 @@
   constructor (
     private readonly endpoint: string,
     private readonly runner: CallRunner<Call, Answer>,
-    private readonly findRange: FindRange<Answer>,
+    private readonly findRange: FindRange<Call, Answer>,
     private readonly tickets: TicketIssuer,
     private readonly clock: Clock,
     private readonly retentionMs: number
@@ -188,7 +188,7 @@
 
   private async runClaimed (call: Call, record: CallRecord<Answer>): Promise<Answer> {
     const scopedKey = `${call.scope} ${call.key}`
-    const range = this.findRange(scopedKey)
+    const range = this.findRange(call, scopedKey)
     const { isGranted, entry } = await range.claim(scopedKey, call.fingerprint)
     if (!isGranted) return this.getClaimedAnswer(call, entry)
     try {
--- a/packages/routing/src/lib/pipeline-run.ts
+++ b/packages/routing/src/lib/pipeline-run.ts
@@ -106,13 +106,6 @@
     this.replaceStages([stage], cause)
   }
 
-  /** Moves the run off an endpoint that is leaving; it still runs and can still be reached. */
-  moveFrom (endpoint: string): void {
-    const stage = this.stages.find((candidate) => candidate.endpoint.name === endpoint)
-    if (this.state === RunState.ended || stage === undefined) return
-    this.replaceStages([stage], 'endpoint is leaving')
-  }
-
   /** Stops feeding positions, because the caller reads too slowly. */
   pause (): void {
     this.isPaused = true
