Keep the stages of a run in a class of their own; feed without copying what was fed

Cause: the run's file held two matters, and every token copied all earlier inputs (a cost that grows with the square of the answer's length). Ruled out: a linked list of inputs. Conclusion: long answers cost the same for each token.

--- a/packages/routing/src/lib/pipeline-run.ts
+++ b/packages/routing/src/lib/pipeline-run.ts
@@ -8,8 +8,10 @@
 import { createError, ErrorKind, Outcome } from '@clementineloft/kernel'
 import type { Clock, Timer } from '@clementineloft/kernel'
 import { computeAlignment, findStuckStage } from './alignment.js'
-import type { FailedFrame, Frame, Hop, RefusedFrame, StatusFrame, Token, TokensFrame } from './frames.js'
+import type { FailedFrame, Frame, RefusedFrame, StatusFrame, TokensFrame } from './frames.js'
 import type { StageEndpoint } from './model-graph.js'
+import { Pipeline } from './pipeline.js'
+import type { PipelineStage } from './pipeline.js'
 import type { RetryBudget } from './retry-budget.js'
 import type { RunListener, RunOptions, RunRequest, StagePort, StageSource } from './run-ports.js'
 
@@ -20,24 +22,17 @@
 } as const
 type RunState = typeof RunState[keyof typeof RunState]
 
-interface Stage {
-  endpoint: StageEndpoint
-  /** Attempt in which this endpoint joined the pipeline. */
-  joined: number
-  status: StatusFrame | undefined
-  isAnswered: boolean
-}
-
 /** One request on its way through a pipeline. */
 export class PipelineRun {
   private state: RunState = RunState.opening
-  private stages: Stage[] = []
   private attempt = 0
+  private pipeline = new Pipeline([], this.attempt)
   private readonly excluded = new Set<string>()
   private readonly crashed = new Set<string>()
   private replacements = 0
-  private promptRows: Uint8Array[] | undefined
-  private readonly generated: Token[] = []
+  /** Inputs of the first stage by position: the prompt's tokens and those generated so far. */
+  private inputs: Uint8Array[] = []
+  private promptLength = 0
   private fedTo = 0
   private isPaused = false
   private hasFed = false
@@ -68,15 +63,12 @@
       this.fail(ErrorKind.noCapacity, `no endpoints cover all layers of model "${this.request.model}"`)
       return
     }
-    this.attempt++
-    this.stages = endpoints.map((endpoint) => this.createStage(endpoint))
-    this.openStages(this.stages, false)
-    this.waitForAnswers()
+    this.beginAttempt(endpoints, false)
   }
 
   /** @returns names of the endpoints in the present pipeline */
   listEndpoints (): string[] {
-    return this.stages.map((stage) => stage.endpoint.name)
+    return this.pipeline.list().map((stage) => stage.endpoint.name)
   }
 
   /** @returns whether the run has ended */
@@ -86,7 +78,7 @@
 
   /** Takes a frame that a sidecar sent about this request. */
   handleFrame (endpoint: string, frame: Frame): void {
-    const stage = this.stages.find((candidate) => candidate.endpoint.name === endpoint)
+    const stage = this.pipeline.find(endpoint)
     if (this.state === RunState.ended || stage === undefined) return
     if (frame.tokens != null) this.handleTokens(stage, frame.tokens)
     else if (frame.status != null) this.handleStatus(stage, frame.status)
@@ -101,7 +93,7 @@
    * @param cause - what showed the loss
    */
   handleLost (endpoint: string, cause: string): void {
-    const stage = this.stages.find((candidate) => candidate.endpoint.name === endpoint)
+    const stage = this.pipeline.find(endpoint)
     if (this.state === RunState.ended || stage === undefined) return
     this.replaceStages([stage], cause)
   }
@@ -123,21 +115,19 @@
     if (this.state !== RunState.ended) this.end()
   }
 
-  private createStage (endpoint: StageEndpoint): Stage {
-    return { endpoint, joined: this.attempt, status: undefined, isAnswered: false }
-  }
-
-  private getNextHop (stage: Stage): Hop | undefined {
-    const next = this.stages[this.stages.indexOf(stage) + 1]?.endpoint
-    return next === undefined ? undefined : { endpoint: next.name, address: next.address }
+  private beginAttempt (endpoints: readonly StageEndpoint[], isHeld: boolean): void {
+    this.attempt++
+    this.pipeline = new Pipeline(endpoints, this.attempt)
+    this.openStages(this.pipeline.list(), isHeld)
+    this.waitForAnswers()
   }
 
-  private openStages (stages: readonly Stage[], isHeld: boolean): void {
+  private openStages (stages: readonly PipelineStage[], isHeld: boolean): void {
     const { request, team, model, fingerprint, prompt, deadlineMs } = this.request
     for (const stage of stages) {
-      const index = this.stages.indexOf(stage)
+      const index = this.pipeline.getIndex(stage)
       const { firstLayer, lastLayer } = stage.endpoint
-      const isEncoder = index === 0 && this.promptRows === undefined
+      const isEncoder = index === 0 && this.promptLength === 0
       this.port.send(stage.endpoint, {
         open: {
           request,
@@ -147,7 +137,7 @@
           model,
           firstLayer,
           lastLayer,
-          next: this.getNextHop(stage) ?? null,
+          next: this.pipeline.getNextHop(stage) ?? null,
           prompt: isEncoder ? prompt : '',
           fingerprint,
           deadlineMs,
@@ -161,27 +151,31 @@
   private waitForAnswers (): void {
     this.state = RunState.opening
     this.setTimer(this.options.openTimeoutMs, () => {
-      this.replaceStages(this.stages.filter((stage) => !stage.isAnswered), 'no answer to open')
+      this.replaceStages(this.pipeline.listSilent(), 'no answer to open')
     })
   }
 
-  private handleStatus (stage: Stage, status: StatusFrame): void {
+  private handleStatus (stage: PipelineStage, status: StatusFrame): void {
     if (status.attempt !== this.attempt) return
     stage.status = status
     stage.isAnswered = true
-    if (status.promptRows.length > 0) this.promptRows ??= status.promptRows
-    if (!this.stages.every((each) => each.isAnswered)) return
+    if (this.promptLength === 0) this.acceptPrompt(status.promptRows)
+    if (!this.pipeline.hasAllAnswers()) return
     if (this.state === RunState.opening) this.continueFromStatuses()
     else this.evaluateProbe()
   }
 
+  private acceptPrompt (rows: readonly Uint8Array[]): void {
+    this.inputs = [...rows]
+    this.promptLength = rows.length
+  }
+
   private continueFromStatuses (): void {
-    if (this.promptRows === undefined) {
-      this.fail(ErrorKind.endpointFailed, `endpoint "${this.stages[0]?.endpoint.name}" encoded the prompt to nothing`)
+    if (this.promptLength === 0) {
+      this.fail(ErrorKind.endpointFailed, `endpoint "${this.listEndpoints()[0]}" encoded the prompt to nothing`)
       return
     }
-    const statuses = this.stages.map((stage) => stage.status as StatusFrame)
-    const alignment = computeAlignment(statuses, this.getDeliveredTo())
+    const alignment = computeAlignment(this.pipeline.listStatuses(), this.getDeliveredTo())
     if (!alignment.isCovered) {
       this.restart('outputs needed for the replacement are no longer logged')
       return
@@ -194,7 +188,7 @@
   }
 
   private sendForwards (forwardFrom: readonly number[]): void {
-    for (const [index, stage] of this.stages.entries()) {
+    for (const [index, stage] of this.pipeline.list().entries()) {
       const from = forwardFrom[index] as number
       this.port.send(stage.endpoint, { forward: { request: this.request.request, attempt: this.attempt, from } })
     }
@@ -202,32 +196,34 @@
 
   /** @returns position after the last one whose token the entry holds */
   private getDeliveredTo (): number {
-    if (this.generated.length === 0) return 0
-    return (this.promptRows as Uint8Array[]).length - 1 + this.generated.length
+    return this.countGenerated() === 0 ? 0 : this.inputs.length - 1
+  }
+
+  private countGenerated (): number {
+    return this.inputs.length - this.promptLength
   }
 
   private feed (): void {
     if (this.isPaused) return
-    const rows = [...(this.promptRows as Uint8Array[]), ...this.generated.map((token) => token.row)].slice(this.fedTo)
-    if (rows.length === 0) return
-    const first = this.stages[0] as Stage
+    const rows = this.inputs.slice(this.fedTo)
+    const first = this.pipeline.list()[0]
+    if (rows.length === 0 || first === undefined) return
     const step = { request: this.request.request, attempt: this.attempt, stage: 0, position: this.fedTo, rows }
     this.hasFed = true
     this.fedTo += rows.length
     this.port.send(first.endpoint, { step })
   }
 
-  private handleTokens (stage: Stage, frame: TokensFrame): void {
-    const isFromLast = stage === this.stages.at(-1)
-    if (!isFromLast || frame.attempt < stage.joined || this.promptRows === undefined) return
-    const firstUseful = Math.max(this.getDeliveredTo(), this.promptRows.length - 1)
+  private handleTokens (stage: PipelineStage, frame: TokensFrame): void {
+    if (!this.pipeline.isLast(stage) || frame.attempt < stage.joined || this.promptLength === 0) return
+    const firstUseful = Math.max(this.getDeliveredTo(), this.promptLength - 1)
     const fresh = frame.tokens.slice(Math.max(0, firstUseful - frame.position))
     if (fresh.length === 0 || frame.position > firstUseful) return
     for (const token of fresh) {
-      this.generated.push(token)
+      this.inputs.push(token.row)
       this.listener.handleToken(token)
       if (this.isEnded()) return
-      if (token.isLast || this.generated.length >= this.request.maxTokens) {
+      if (token.isLast || this.countGenerated() >= this.request.maxTokens) {
         this.end()
         this.retryBudget.recordSuccess()
         this.listener.handleDone()
@@ -239,7 +235,7 @@
     this.watchProgress()
   }
 
-  private handleRefused (stage: Stage, frame: RefusedFrame): void {
+  private handleRefused (stage: PipelineStage, frame: RefusedFrame): void {
     if (frame.attempt !== this.attempt) return
     if (frame.kind === ErrorKind.quarantined) {
       this.fail(ErrorKind.quarantined, frame.message)
@@ -252,9 +248,9 @@
     this.replaceStages([stage], `refused: ${frame.kind}`, frame.kind as ErrorKind)
   }
 
-  private handleStageFailed (stage: Stage, frame: FailedFrame): void {
+  private handleStageFailed (stage: PipelineStage, frame: FailedFrame): void {
     if (frame.attempt < stage.joined) return
-    const culprit = this.stages.find((candidate) => candidate.endpoint.name === frame.culprit)
+    const culprit = this.pipeline.find(frame.culprit)
     if (culprit === undefined) return
     if (frame.kind === ErrorKind.endpointFailed && culprit === stage) this.recordCrash(culprit.endpoint.name)
     this.replaceStages([culprit], frame.message)
@@ -266,7 +262,7 @@
     this.listener.handleCrash(endpoint)
   }
 
-  private replaceStages (lost: readonly Stage[], cause: string, kind: ErrorKind = ErrorKind.endpointFailed): void {
+  private replaceStages (lost: readonly PipelineStage[], cause: string, kind: ErrorKind = ErrorKind.endpointFailed): void {
     if (this.state === RunState.ended || lost.length === 0) return
     this.listener.handleReplaced(lost.map((stage) => stage.endpoint.name), cause)
     for (const stage of lost) this.abandon(stage)
@@ -278,55 +274,50 @@
       this.fail(kind, `gave up after replacing stages ${this.options.maxReplacements} times; last cause: ${cause}`)
       return
     }
-    const replaced = lost.map((stage) => this.pickReplacement(stage, lost))
-    if (replaced.some((endpoint) => endpoint === undefined)) {
+    const endpoints = lost.map((stage) => this.pickReplacement(stage, lost)).filter((endpoint) => endpoint !== undefined)
+    if (endpoints.length < lost.length) {
       this.restart(cause, kind)
       return
     }
     this.attempt++
-    const fresh = replaced.map((endpoint) => this.createStage(endpoint as StageEndpoint))
-    this.stages = this.stages.map((stage) => fresh[lost.indexOf(stage)] ?? stage)
-    const survivors = this.stages.filter((stage) => !fresh.includes(stage))
+    const { fresh, survivors } = this.pipeline.replace(lost, endpoints, this.attempt)
     for (const stage of survivors) this.reroute(stage)
     this.openStages(fresh, true)
     this.waitForAnswers()
   }
 
   /** Picks an endpoint that this run has not lost; if there is none, one that it has lost earlier and that may be back. */
-  private pickReplacement (stage: Stage, lost: readonly Stage[]): StageEndpoint | undefined {
+  private pickReplacement (stage: PipelineStage, lost: readonly PipelineStage[]): StageEndpoint | undefined {
     const justLost = new Set([...this.crashed, ...lost.map((other) => other.endpoint.name)])
     return this.source.pickReplacement(stage.endpoint, this.excluded) ??
       this.source.pickReplacement(stage.endpoint, justLost)
   }
 
-  private reroute (stage: Stage): void {
+  private reroute (stage: PipelineStage): void {
     stage.isAnswered = false
-    const next = this.getNextHop(stage) ?? null
+    const next = this.pipeline.getNextHop(stage) ?? null
     this.port.send(stage.endpoint, { reroute: { request: this.request.request, attempt: this.attempt, next } })
   }
 
   /** Starts over on a new pipeline, from the prompt and the tokens that were delivered. */
   private restart (cause: string, kind: ErrorKind = ErrorKind.endpointFailed): void {
-    for (const stage of this.stages) this.sendClose(stage)
-    const held = new Set([...this.excluded, ...this.stages.map((stage) => stage.endpoint.name)])
+    for (const stage of this.pipeline.list()) this.sendClose(stage)
+    const held = new Set([...this.excluded, ...this.listEndpoints()])
     const endpoints = this.source.pick(held) ?? this.source.pick(this.excluded) ?? this.source.pick(this.crashed)
     if (endpoints === undefined) {
-      this.stages = []
+      this.pipeline = new Pipeline([], this.attempt)
       this.fail(kind === ErrorKind.endpointFailed ? ErrorKind.noCapacity : kind, `no other pipeline is left: ${cause}`)
       return
     }
-    this.attempt++
-    this.stages = endpoints.map((endpoint) => this.createStage(endpoint))
-    this.openStages(this.stages, true)
-    this.waitForAnswers()
+    this.beginAttempt(endpoints, true)
   }
 
-  private abandon (stage: Stage): void {
+  private abandon (stage: PipelineStage): void {
     this.excluded.add(stage.endpoint.name)
     this.sendClose(stage)
   }
 
-  private sendClose (stage: Stage): void {
+  private sendClose (stage: PipelineStage): void {
     this.port.send(stage.endpoint, { close: { request: this.request.request, attempt: this.attempt } })
   }
 
@@ -340,21 +331,20 @@
       this.watchProgress()
       return
     }
-    for (const stage of this.stages) {
+    for (const stage of this.pipeline.list()) {
       stage.isAnswered = false
       this.port.send(stage.endpoint, { probe: { request: this.request.request, attempt: this.attempt } })
     }
     this.setTimer(this.options.probeTimeoutMs, () => {
-      const silent = this.stages.filter((stage) => !stage.isAnswered)
-      this.replaceStages(silent, 'no answer to probe')
+      this.replaceStages(this.pipeline.listSilent(), 'no answer to probe')
     })
   }
 
   private evaluateProbe (): void {
-    const statuses = this.stages.map((stage) => stage.status as StatusFrame)
-    const stuck = findStuckStage(this.earlierProbe, statuses)
+    const statuses = this.pipeline.listStatuses()
+    const stuck = this.pipeline.list()[findStuckStage(this.earlierProbe, statuses) ?? -1]
     if (stuck !== undefined) {
-      this.replaceStages([this.stages[stuck] as Stage], 'inputs do not arrive from the stage before')
+      this.replaceStages([stuck], 'inputs do not arrive from the stage before')
       return
     }
     this.earlierProbe = statuses
@@ -371,7 +361,7 @@
     this.state = RunState.ended
     this.timer?.cancel()
     this.deadline?.cancel()
-    for (const stage of this.stages) this.sendClose(stage)
+    for (const stage of this.pipeline.list()) this.sendClose(stage)
   }
 
   private setTimer (delayMs: number, callback: () => void): void {
--- a/packages/routing/src/test/pipeline-run_test.ts
+++ b/packages/routing/src/test/pipeline-run_test.ts
@@ -22,9 +22,11 @@
 
 class FakePort extends StagePort {
   readonly opened: string[] = []
+  readonly positions: number[] = []
   attempt = 0
 
   override send (endpoint: StageEndpoint, frame: Frame): void {
+    if (frame.step != null) this.positions.push(frame.step.position)
     if (frame.open == null) return
     this.opened.push(endpoint.name)
     this.attempt = frame.open.attempt
@@ -91,3 +93,15 @@
   clock.advance(1000)
   assert.equal(getErrorKind(recorder.error), ErrorKind.deadline)
 })
+
+test('a slow reader stops the next position, and its return goes on with it', () => {
+  const { run, port } = createRun()
+  const status = { request: 'r', attempt: 1, stage: 0, acceptedTo: 0, completedTo: 0, loggedFrom: 0, promptRows: [new Uint8Array(1)] }
+  run.handleFrame('a', { status })
+  run.pause()
+  const token = { row: new Uint8Array(1), text: 't', isLast: false }
+  run.handleFrame('a', { tokens: { request: 'r', attempt: 1, position: 0, tokens: [token] } })
+  assert.deepEqual(port.positions, [0])
+  run.resume()
+  assert.deepEqual(port.positions, [0, 1])
+})
