Spread crash reports and leaving by neighbours; gather frames in one place

Before: calls grow with the fleet. Conclusion: nothing in control grows with the square of the fleet.

--- a/packages/clementineloft/src/lib/node-runtime.ts
+++ b/packages/clementineloft/src/lib/node-runtime.ts
@@ -4,7 +4,7 @@
 import { Server } from '@grpc/grpc-js'
 import type { ChannelCredentials, ServiceDefinition, UntypedServiceImplementation } from '@grpc/grpc-js'
 import { ConfigSpread, StoreRecord } from '@clementineloft/coordination'
-import type { ConfigSnapshot, Instance, ObjectStore } from '@clementineloft/coordination'
+import type { ConfigSnapshot, ObjectStore } from '@clementineloft/coordination'
 import { createError, ErrorKind, getErrorMessage } from '@clementineloft/kernel'
 import type { CrashReport } from '@clementineloft/routing'
 import type { clementineloft as wire } from '../../generated/wire.js'
@@ -53,7 +53,7 @@
       (message) => { this.noteStoreFault(message) }
     )
     this.admin = new AdminServer(context)
-    this.addService(peerService, createPeerHandlers(context, (header) => { this.fetchNewer(header) }))
+    this.addService(peerService, createPeerHandlers(context, (header) => { this.fetchNewer(header) }, async (report) => { await this.spreadCrash(report) }))
   }
 
   /**
@@ -80,14 +80,15 @@
   }
 
   /**
-   * Tells every entry and sidecar of a crash, whether or not the store is up.
+   * Passes news of a crash on to the neighbours, whether or not the store is up.
    *
    * @param report - the crash
+   * @returns a promise that resolves when the neighbours and all that they reach know of it
    */
-  async broadcastCrash (report: CrashReport): Promise<void> {
+  async spreadCrash (report: CrashReport): Promise<void> {
     if (!this.context.crashes.record(report)) return
-    const peers = this.listPeers()
-    await Promise.allSettled(peers.map(async (peer) => { await this.transport.sendCrash(peer, report) }))
+    const neighbours = this.spread.listNeighbours()
+    await Promise.allSettled(neighbours.map(async (peer) => { await this.transport.sendCrash(peer, report) }))
   }
 
   /**
@@ -110,19 +111,14 @@
     this.admin.close()
   }
 
-  /** Marks this process as leaving and tells its peers. */
+  /** Marks this process as leaving and tells its neighbours; all others hear of it with the next message. */
   startLeaving (): void {
     const { context } = this
     if (context.isLeaving) return
     context.isLeaving = true
     context.journal.record({ name: 'leaving' })
     context.log.info({ event: 'leaving' })
-    for (const peer of this.listPeers()) this.transport.callPeer(peer.address, '').catch(() => {})
-  }
-
-  private listPeers (): Instance[] {
-    const { membership, settings } = this.context
-    return membership.list().filter((instance) => instance.name !== settings.instance.name)
+    for (const peer of this.spread.listNeighbours()) this.transport.callPeer(peer.address, '').catch(() => {})
   }
 
   private listen (address: string): Promise<void> {
--- a/packages/clementineloft/src/lib/peer-service.ts
+++ b/packages/clementineloft/src/lib/peer-service.ts
@@ -80,25 +80,30 @@
 /**
  * @param context - parts of this process
  * @param handleNewer - called with the sender when it holds a newer revision
+ * @param handleCrash - passes news of a crash on; the sender is answered when it has been
  * @returns the implementation of the peer service
  */
 export const createPeerHandlers = (
   context: ProcessContext,
-  handleNewer: (header: wire.IHeader) => void
-): UntypedServiceImplementation => ({
-  exchange: (
-    call: ServerUnaryCall<wire.ExchangeRequest, wire.IExchangeReply>,
-    callback: sendUnaryData<wire.IExchangeReply>
-  ) => {
-    const { header, crashesJson } = call.request
-    context.mergeHeader(header)
-    if (crashesJson !== '') {
-      for (const report of JSON.parse(crashesJson) as CrashReport[]) context.crashes.record(report)
-    }
-    const revision = header?.revision ?? 0
-    if (header != null && revision > context.replica.getRevision()) handleNewer(header)
+  handleNewer: (header: wire.IHeader) => void,
+  handleCrash: (report: CrashReport) => Promise<void>
+): UntypedServiceImplementation => {
+  const createReply = (revision: number): wire.IExchangeReply => {
     const update = context.replica.createUpdate(revision)
     const isEmpty = update.changes === undefined && update.snapshot === undefined
-    callback(null, { header: context.createHeader(), updateJson: isEmpty ? '' : JSON.stringify(update) })
+    return { header: context.createHeader(), updateJson: isEmpty ? '' : JSON.stringify(update) }
+  }
+  return {
+    exchange: (
+      call: ServerUnaryCall<wire.ExchangeRequest, wire.IExchangeReply>,
+      callback: sendUnaryData<wire.IExchangeReply>
+    ) => {
+      const { header, crashesJson } = call.request
+      const revision = header?.revision ?? 0
+      context.mergeHeader(header)
+      if (header != null && revision > context.replica.getRevision()) handleNewer(header)
+      const reports = crashesJson === '' ? [] : JSON.parse(crashesJson) as CrashReport[]
+      void Promise.all(reports.map(handleCrash)).then(() => { callback(null, createReply(revision)) })
+    }
   }
-})
+}
--- a/packages/clementineloft/src/lib/stage-link.ts
+++ b/packages/clementineloft/src/lib/stage-link.ts
@@ -5,6 +5,7 @@
 import type { ChannelCredentials, ClientDuplexStream } from '@grpc/grpc-js'
 import type { Frame } from '@clementineloft/routing'
 import type { clementineloft as wire } from '../../generated/wire.js'
+import { FrameBatcher } from './frame-batcher.js'
 import { sidecarService } from './grpc-services.js'
 import type { ProcessContext } from './process-context.js'
 
@@ -27,7 +28,7 @@
 export class StageLink {
   private readonly client: Client
   private readonly stream: ClientDuplexStream<wire.IBatch, wire.Batch>
-  private pending: Frame[] = []
+  private readonly batcher = new FrameBatcher((frames) => { this.write(frames) })
   private isLost = false
 
   /**
@@ -50,9 +51,7 @@
 
   /** @param frame - a frame to send; dropped if the link is lost */
   send (frame: Frame): void {
-    if (this.isLost) return
-    this.pending.push(frame)
-    if (this.pending.length === 1) setImmediate(() => { this.flush() })
+    if (!this.isLost) this.batcher.add(frame)
   }
 
   /** Closes the link without reporting it as lost. */
@@ -62,10 +61,8 @@
     this.client.close()
   }
 
-  private flush (): void {
-    const frames = this.pending
-    this.pending = []
-    if (!this.isLost && frames.length > 0) this.stream.write({ header: this.context.createHeader(), frames })
+  private write (frames: Frame[]): void {
+    if (!this.isLost) this.stream.write({ header: this.context.createHeader(), frames })
   }
 
   private lose (cause: string): void {
--- a/packages/clementineloft/src/lib/stage-sidecar.ts
+++ b/packages/clementineloft/src/lib/stage-sidecar.ts
@@ -9,6 +9,7 @@
 import type { clementineloft as wire } from '../../generated/wire.js'
 import { modelEngines, orderedEngines } from './adapters.js'
 import { computeFreeFactor, computePlaces, computeWeight } from './config-document.js'
+import { FrameBatcher } from './frame-batcher.js'
 import { sidecarService } from './grpc-services.js'
 import { LinkListener, LinkPool } from './link-pool.js'
 import type { NodeRuntime } from './node-runtime.js'
@@ -20,27 +21,6 @@
 
 type Connection = ServerDuplexStream<wire.Batch, wire.IBatch>
 
-/** Batches the frames of one turn of the event loop towards one entry. */
-class EntryConnection {
-  private pending: Frame[] = []
-
-  constructor (
-    private readonly stream: Connection,
-    private readonly createHeader: () => wire.IHeader
-  ) {}
-
-  send (frame: Frame): void {
-    this.pending.push(frame)
-    if (this.pending.length === 1) setImmediate(() => { this.flush() })
-  }
-
-  private flush (): void {
-    const frames = this.pending
-    this.pending = []
-    if (!this.stream.destroyed && !this.stream.cancelled) this.stream.write({ header: this.createHeader(), frames })
-  }
-}
-
 /** Hears of lost links to next stages. */
 class HopListener extends LinkListener {
   constructor (private readonly reportLost: (endpoint: string) => void) {
@@ -60,7 +40,7 @@
 export class StageSidecar extends StageOutlet {
   private readonly host: StageHost
   private readonly hops: LinkPool
-  private readonly connections = new Map<string, EntryConnection>()
+  private readonly connections = new Map<string, FrameBatcher>()
   private readonly orders: EngineOrders | undefined
 
   constructor (
@@ -123,7 +103,7 @@
   }
 
   override sendToEntry (connection: string, frame: Frame): void {
-    this.connections.get(connection)?.send(frame)
+    this.connections.get(connection)?.add(frame)
   }
 
   override sendToStage (next: Hop, frame: Frame): void {
@@ -133,7 +113,7 @@
   override async reportCrash (fingerprints: readonly string[]): Promise<void> {
     const { context } = this.runtime
     const endpoint = context.settings.instance.name
-    const report = this.runtime.broadcastCrash({ endpoint, fingerprints: [...fingerprints] })
+    const report = this.runtime.spreadCrash({ endpoint, fingerprints: [...fingerprints] })
     await Promise.race([report, context.clock.wait(crashReportMs)])
   }
 
@@ -159,7 +139,9 @@
   private acceptConnection (stream: Connection): void {
     const { context } = this.runtime
     const connection = createIdentifier()
-    this.connections.set(connection, new EntryConnection(stream, () => context.createHeader(this.host.getLoad())))
+    this.connections.set(connection, new FrameBatcher((frames) => {
+      if (!stream.destroyed && !stream.cancelled) stream.write({ header: context.createHeader(this.host.getLoad()), frames })
+    }))
     stream.on('data', (batch: wire.Batch) => {
       context.mergeHeader(batch.header)
       for (const frame of batch.frames) this.host.handleFrame(connection, frame as Frame)
--- a/packages/coordination/src/lib/config-spread.ts
+++ b/packages/coordination/src/lib/config-spread.ts
@@ -86,8 +86,12 @@
     }
   }
 
-  /** Keeps neighbours that still exist and adds random instances in place of those that are gone. */
-  private listNeighbours (): Instance[] {
+  /**
+   * Keeps neighbours that still exist and adds random instances in place of those that are gone.
+   *
+   * @returns the instances that this process compares with
+   */
+  listNeighbours (): Instance[] {
     const kept = this.neighbours.filter((neighbour) => this.membership.find(neighbour.name)?.address === neighbour.address)
     const names = new Set([this.self.name, ...kept.map((neighbour) => neighbour.name)])
     const others = kept.length < this.options.neighbours
