Say 'not run' only if every attempt proves it

Cause, found by reading and then shown on processes: a keyed call whose owner died while running it was tried at the next endpoint; when that refused because the store was down, the caller was told 'not run' although the first attempt had run. A lost repeat of a ticket could be called off as 'not run' in the same way. Ruled out: never trying the next endpoint after a loss (bookings would stop with their owner). Conclusion: the outcomes of all attempts are joined, and a call is settled by its key where it has one.

--- a/packages/clementineloft/src/lib/call-router.ts
+++ b/packages/clementineloft/src/lib/call-router.ts
@@ -5,7 +5,7 @@
 import {
   createError, createIdentifier, ErrorKind, getErrorMessage, getErrorOutcome, KindError, Outcome
 } from '@clementineloft/kernel'
-import { RetryBudget } from '@clementineloft/routing'
+import { AttemptOutcomes, RetryBudget } from '@clementineloft/routing'
 import type { clementineloft as wire } from '../../generated/wire.js'
 import type { ServiceConfig } from './config-document.js'
 import type { EndpointDirectory, ServiceEndpoint } from './endpoint-directory.js'
@@ -94,6 +94,7 @@
     const range = computeRangeIndex(`${call.service}/${call.team} ${call.key}`, call.config.keyRanges)
     const placement = call.key === '' ? call.request : `${call.service}/${range}`
     const tried = new Set<string>()
+    const outcomes = new AttemptOutcomes()
     let lastError: unknown = createError(ErrorKind.noCapacity, `no endpoint of service "${call.service}" is available`)
     while (tried.size < maxAttempts) {
       const endpoint = this.rankEndpoints(call.service, placement).find((candidate) => !tried.has(candidate.name))
@@ -105,11 +106,12 @@
         return reply
       } catch (error) {
         lastError = error
-        if (!this.canTryNext(call, error) || !this.retryBudget.take()) throw error
+        outcomes.record(error)
+        if (!this.canTryNext(call, error) || !this.retryBudget.take()) break
         this.runtime.context.metrics.count('service_retries_total')
       }
     }
-    throw lastError
+    throw outcomes.getFinalError(lastError)
   }
 
   /** Closes all connections. */
@@ -208,7 +210,8 @@
     if (target === '') throw createLostError(endpoint.name, cause)
     let reply: wire.CallReply
     try {
-      const message = { header: context.createHeader(), request: call.request, target }
+      const { key, request } = call
+      const message = { header: context.createHeader(), request, target, key, scope: `${call.service}/${call.team}` }
       reply = await this.getClient(endpoint).call(sidecarService.resolve, message, resolveTimeoutMs)
     } catch (error) {
       throw createLostError(endpoint.name, error)
--- a/packages/clementineloft/src/lib/service-sidecar.ts
+++ b/packages/clementineloft/src/lib/service-sidecar.ts
@@ -131,8 +131,8 @@
         outcome: Outcome.unknown
       })
     }
-    if (message.request !== '') return await this.gate.resolve(message.request)
-    return await this.gate.resolveKey(message.scope, message.key)
+    const { request, scope, key } = message
+    return request === '' ? await this.gate.resolveKey(scope, key) : await this.gate.resolve(request, scope, key)
   }
 
   private async answer (
--- a/packages/coordination/src/lib/call-gate.ts
+++ b/packages/coordination/src/lib/call-gate.ts
@@ -59,7 +59,6 @@
 /** Guards one plain service. */
 export class CallGate<Call extends GuardedCall, Answer> {
   private readonly records = new Map<string, CallRecord<Answer>>()
-  private readonly identities = new Map<string, string>()
   private readonly tombstones = new Set<string>()
   private isLeaving = false
 
@@ -115,12 +114,14 @@
    * Settles a call whose answer was lost: waits for it if it is here, and otherwise makes sure that it never starts.
    *
    * @param request - identity of the call
-   * @returns its answer
-   * @throws an error with outcome `not-run` if it had not started, and never will
+   * @param scope - service and team
+   * @param key - its idempotency key; empty for none
+   * @returns its answer, or that of an earlier call with the same key
+   * @throws an error with outcome `not-run` if neither had started here, and this one never will
    */
-  async resolve (request: string): Promise<Answer> {
-    const identity = this.identities.get(request)
-    const record = identity === undefined ? undefined : this.records.get(identity)
+  async resolve (request: string, scope = '', key = ''): Promise<Answer> {
+    const identity = key === '' ? `request ${request}` : this.formatIdentity(scope, key)
+    const record = this.records.get(identity)
     if (record?.isStarted === true) return await record.result
     if (record !== undefined) record.isCancelled = true
     this.tombstones.add(request)
@@ -170,12 +171,11 @@
     }
     record.result.catch(() => {})
     this.records.set(identity, record)
-    this.identities.set(call.request, identity)
-    this.clock.schedule(this.retentionMs, () => { this.forget(call.request, identity, record) })
+    this.clock.schedule(this.retentionMs, () => { this.forget(identity, record) })
     record.result = needsClaim ? this.runClaimed(call, record) : this.runOnce(call, record)
     record.result.catch((error: unknown) => {
       const hasNotRun = getErrorOutcome(error) === Outcome.notRun
-      if (hasNotRun) this.forget(call.request, identity, record)
+      if (hasNotRun) this.forget(identity, record)
     })
     return record.result
   }
@@ -207,8 +207,7 @@
     throw new ClaimedElsewhereError(call.key, entry)
   }
 
-  private forget (request: string, identity: string, record: CallRecord<Answer>): void {
-    this.identities.delete(request)
+  private forget (identity: string, record: CallRecord<Answer>): void {
     if (this.records.get(identity) === record) this.records.delete(identity)
   }
 }
--- a/packages/coordination/src/test/at-most-once_property_test.ts
+++ b/packages/coordination/src/test/at-most-once_property_test.ts
@@ -45,7 +45,7 @@
     }
     const gates = [createGate(), createGate()]
     const told = new Map<string, string>()
-    const sent: Array<{ request: string, worker: number, gate: CallGate<GuardedCall, string> }> = []
+    const sent: Array<{ request: string, worker: number, gate: CallGate<GuardedCall, string>, key: string }> = []
     const note = (request: string) => (error: unknown): void => {
       if (getErrorOutcome(error) === Outcome.notRun) told.set(request, 'not-run')
     }
@@ -55,13 +55,13 @@
       if (step.type === 'call') {
         const request = `r${sent.length}`
         const gate = gates[step.worker] as CallGate<GuardedCall, string>
-        sent.push({ request, worker: step.worker, gate })
         const key = keys[step.key] as string
+        sent.push({ request, worker: step.worker, gate, key })
         gate.handle({ request, scope: 's', key, fingerprint: key, isIdempotent: false }).catch(note(request))
       }
       if (step.type === 'resolve') {
         const call = sent.at(-1 - step.back)
-        if (call !== undefined && gates[call.worker] === call.gate) call.gate.resolve(call.request).catch(note(call.request))
+        if (call !== undefined && gates[call.worker] === call.gate) call.gate.resolve(call.request, 's', call.key).catch(note(call.request))
       }
       if (step.type !== 'pass') continue
       for (let turn = 0; turn < step.turns; turn++) await clock.advanceGradually(step.ms / 6, 50)
--- a/packages/coordination/src/test/call-gate_test.ts
+++ b/packages/coordination/src/test/call-gate_test.ts
@@ -57,7 +57,7 @@
 test('a call that was resolved before it arrived never starts', async () => {
   const { gate, runner } = createGate()
   const call = createCall('')
-  await assert.rejects(gate.resolve(call.request), (error) => getErrorOutcome(error) === Outcome.notRun)
+  await assert.rejects(gate.resolve(call.request, call.scope, call.key), (error) => getErrorOutcome(error) === Outcome.notRun)
   await assert.rejects(gate.handle(call), (error) => getErrorOutcome(error) === Outcome.notRun)
   assert.equal(runner.runs, 0)
 })
@@ -67,7 +67,7 @@
   const call = createCall('k')
   const handled = gate.handle(call)
   handled.catch(() => {})
-  await assert.rejects(gate.resolve(call.request), (error) => getErrorOutcome(error) === Outcome.notRun)
+  await assert.rejects(gate.resolve(call.request, call.scope, call.key), (error) => getErrorOutcome(error) === Outcome.notRun)
   await assert.rejects(handled, (error) => getErrorOutcome(error) === Outcome.notRun)
   assert.equal(runner.runs, 0)
 })
@@ -116,3 +116,14 @@
   runner.finish.forEach((finish) => { finish() })
   assert.equal(await running, 'answer 1')
 })
+
+test('a repeat that was lost on the way is not called off as "not run" when its key has run', async () => {
+  const { gate, runner, tickets } = createGate()
+  const key = tickets.issue()
+  const first = gate.handle(createCall(key))
+  await settle()
+  runner.finish.forEach((finish) => { finish() })
+  await first
+  const lost = createCall(key)
+  assert.equal(await gate.resolve(lost.request, lost.scope, lost.key), 'answer 1')
+})
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from './lib/admission.js'
 export * from './lib/alignment.js'
+export * from './lib/attempt-outcomes.js'
 export * from './lib/crash-register.js'
 export * from './lib/engine-executor.js'
 export * from './lib/engine-orders.js'
--- a/packages/stand-ins/src/faults/call-faults.ts
+++ b/packages/stand-ins/src/faults/call-faults.ts
@@ -208,6 +208,26 @@
       return { isKept: verdict.isKept && served === 60 && servedAgain === 60 && isSame && refused === 60, seen, recoveryMs: [] }
     }
   },
+  {
+    name: 'owner dies as the store goes down',
+    done: 'store down and SIGKILL to a booking sidecar at the same moment, 40 keyed calls at once, for each worker in turn',
+    run: async (fleet) => {
+      const log = new BookingLog(fleet)
+      for (const worker of fleet.workers) {
+        await log.bookKeyed()
+        const calls = Array.from({ length: 40 }, async () => await log.bookKeyed())
+        await waitMs(60)
+        await fleet.control({ fault: 'down' })
+        fleet.processes.signal(worker.name, 'SIGKILL')
+        await Promise.all(calls)
+        await fleet.control({ fault: 'none' })
+        await startAgain(fleet, worker.name)
+      }
+      await waitMs(cooldownMs)
+      const verdict = await log.judge(await readLedgers(fleet))
+      return { ...verdict, recoveryMs: [] }
+    }
+  },
   {
     name: 'ticket after restart',
     done: 'tickets of a process that was killed, before and after use',
--- a/scripts/run-mutants.js
+++ b/scripts/run-mutants.js
@@ -182,6 +182,20 @@
     to: 'undefined',
     test: 'routing/dist/test/pipeline-run_test.js'
   },
+  {
+    mechanism: 'not run only if every attempt proves it',
+    file: 'routing/dist/lib/attempt-outcomes.js',
+    from: 'if (this.unknown === undefined ||',
+    to: 'if (true ||',
+    test: 'routing/dist/test/attempt-outcomes_test.js'
+  },
+  {
+    mechanism: 'lost repeats settled by their key',
+    file: 'coordination/dist/lib/call-gate.js',
+    from: "const identity = key === '' ?",
+    to: 'const identity = true ?',
+    test: 'coordination/dist/test/call-gate_test.js'
+  },
   {
     mechanism: 'lease checked before an order',
     file: 'coordination/dist/lib/fenced-lease.js',
