Give up a run only when it makes no progress; let the retry budget refill with time

Ruled out: raising the number 8 (the same at another speed), raising the budget (a storm of retries is what it prevents). Conclusion: the limits now depend on progress and not on the speed of the machine.

--- a/packages/clementineloft/src/lib/call-router.ts
+++ b/packages/clementineloft/src/lib/call-router.ts
@@ -3,15 +3,17 @@
  */
 import { parseTicket, rankCandidates } from '@clementineloft/coordination'
 import {
-  createError, createIdentifier, ErrorKind, getErrorMessage, getErrorOutcome, KindError, Outcome
+  createError, createIdentifier, ErrorKind, getErrorKind, getErrorMessage, getErrorOutcome, KindError, Outcome
 } from '@clementineloft/kernel'
-import { AttemptOutcomes, RetryBudget } from '@clementineloft/routing'
+import { AttemptOutcomes } from '@clementineloft/routing'
+import type { RetryBudget } from '@clementineloft/routing'
 import type { clementineloft as wire } from '../../generated/wire.js'
 import type { ServiceConfig } from './config-document.js'
 import type { EndpointDirectory, ServiceEndpoint } from './endpoint-directory.js'
 import { peerService, sidecarService } from './grpc-services.js'
 import { computeRangeIndex } from './key-ranges.js'
 import type { NodeRuntime } from './node-runtime.js'
+import { createRetryBudget } from './retry-limits.js'
 import { UnaryClient } from './unary-client.js'
 
 const pingIntervalMs = 500
@@ -19,8 +21,6 @@
 const resolveTimeoutMs = 500
 const ticketTimeoutMs = 800
 const maxAttempts = 4
-const retriesPerSuccess = 0.2
-const maxSavedRetries = 50
 
 /** A call on its way to an endpoint. */
 export interface RoutedCall {
@@ -54,12 +54,14 @@
 /** Routes calls. */
 export class CallRouter {
   private readonly clients = new Map<string, UnaryClient>()
-  private readonly retryBudget = new RetryBudget(retriesPerSuccess, maxSavedRetries)
+  private readonly retryBudget: RetryBudget
 
   constructor (
     private readonly runtime: NodeRuntime,
     private readonly directory: EndpointDirectory
-  ) {}
+  ) {
+    this.retryBudget = createRetryBudget(runtime.context.clock)
+  }
 
   /**
    * Asks an endpoint for an idempotency key that its process alone may run.
@@ -107,6 +109,7 @@
       } catch (error) {
         lastError = error
         outcomes.record(error)
+        if (getErrorKind(error) === ErrorKind.endpointFailed) this.directory.avoid(endpoint.name)
         if (!this.canTryNext(call, error) || !this.retryBudget.take()) break
         this.runtime.context.metrics.count('service_retries_total')
       }
--- /dev/null
+++ b/packages/clementineloft/src/lib/retry-limits.ts
@@ -0,0 +1,13 @@
+/**
+ * How many retries an entry makes.
+ */
+import type { Clock } from '@clementineloft/kernel'
+import { RetryBudget } from '@clementineloft/routing'
+
+const retriesPerSuccess = 0.2
+const retriesPerSecond = 1
+const maxSavedRetries = 50
+
+/** Creates the budget of one kind of requests at an entry. */
+export const createRetryBudget = (clock: Clock): RetryBudget =>
+  new RetryBudget(retriesPerSuccess, retriesPerSecond, maxSavedRetries, clock)
--- a/packages/clementineloft/src/lib/run-manager.ts
+++ b/packages/clementineloft/src/lib/run-manager.ts
@@ -2,17 +2,15 @@
  * All pipeline runs of one entry, over one pool of links.
  */
 import { ErrorKind } from '@clementineloft/kernel'
-import { getFrameRequest, LoadTable, PipelinePicker, PipelineRun, RetryBudget, StagePort, StageSource } from '@clementineloft/routing'
-import type { Frame, ModelGraph, RunListener, RunOptions, RunRequest, StageEndpoint } from '@clementineloft/routing'
+import { getFrameRequest, LoadTable, PipelinePicker, PipelineRun, StagePort, StageSource } from '@clementineloft/routing'
+import type { Frame, ModelGraph, RetryBudget, RunListener, RunOptions, RunRequest, StageEndpoint } from '@clementineloft/routing'
 import type { clementineloft as wire } from '../../generated/wire.js'
 import type { EndpointDirectory } from './endpoint-directory.js'
 import { LinkListener, LinkPool } from './link-pool.js'
+import { createRetryBudget } from './retry-limits.js'
 import type { NodeRuntime } from './node-runtime.js'
 import type { ProcessContext } from './process-context.js'
 
-const retriesPerSuccess = 0.2
-const maxSavedRetries = 50
-
 /** Picks endpoints for the runs of one model. */
 class GraphSource extends StageSource {
   constructor (
@@ -88,7 +86,7 @@
 export class RunManager {
   private readonly runs = new Map<string, PipelineRun>()
   private readonly loads = new LoadTable()
-  private readonly retryBudget = new RetryBudget(retriesPerSuccess, maxSavedRetries)
+  private readonly retryBudget: RetryBudget
   private readonly pool: LinkPool
   private readonly picker: PipelinePicker
   private readonly context: ProcessContext
@@ -100,6 +98,7 @@
   ) {
     this.context = runtime.context
     this.pool = new LinkPool(runtime.context, runtime.channelCredentials, new RunLinkListener(this))
+    this.retryBudget = createRetryBudget(runtime.context.clock)
     this.picker = new PipelinePicker(this.loads, runtime.context.random)
     runtime.context.metrics.registerGauge('runs_in_flight', () => this.runs.size)
     runtime.context.metrics.registerGauge('links_open', () => this.pool.countLinks())
--- a/packages/clementineloft/src/lib/settings-schema.ts
+++ b/packages/clementineloft/src/lib/settings-schema.ts
@@ -67,7 +67,7 @@
   open_timeout_ms: milliseconds.default(800).describe('time a stage has to answer a reservation, in milliseconds'),
   stall_ms: milliseconds.default(700).describe('silence after which stages are probed, in milliseconds'),
   probe_timeout_ms: milliseconds.default(600).describe('time a stage has to answer a probe, in milliseconds'),
-  max_replacements: count.default(8).describe('times that stages of one request may be replaced'),
+  max_replacements: count.default(8).describe('times that stages of one request may be replaced without a token in between'),
   endpoints_per_stage: count.default(8).describe('endpoints of each range of layers that this entry uses while they suffice'),
   max_crashes: count.default(2).describe('endpoints that one request may crash before it is refused')
 }).describe('Pipelines')
--- a/packages/routing/src/lib/pipeline-run.ts
+++ b/packages/routing/src/lib/pipeline-run.ts
@@ -219,6 +219,7 @@
     const firstUseful = Math.max(this.getDeliveredTo(), this.promptLength - 1)
     const fresh = frame.tokens.slice(Math.max(0, firstUseful - frame.position))
     if (fresh.length === 0 || frame.position > firstUseful) return
+    this.replacements = 0
     for (const token of fresh) {
       this.inputs.push(token.row)
       this.listener.handleToken(token)
@@ -271,7 +272,7 @@
       return
     }
     if (++this.replacements > this.options.maxReplacements) {
-      this.fail(kind, `gave up after replacing stages ${this.options.maxReplacements} times; last cause: ${cause}`)
+      this.fail(kind, `gave up after replacing stages ${this.options.maxReplacements} times without a token; last cause: ${cause}`)
       return
     }
     const endpoints = lost.map((stage) => this.pickReplacement(stage, lost)).filter((endpoint) => endpoint !== undefined)
--- a/packages/routing/src/lib/run-ports.ts
+++ b/packages/routing/src/lib/run-ports.ts
@@ -39,7 +39,7 @@
   stallMs: number
   /** How long a stage may take to answer a probe, in milliseconds. */
   probeTimeoutMs: number
-  /** How many times stages may be replaced in one run. */
+  /** How many times stages may be replaced without a token in between. */
   maxReplacements: number
   /** How many endpoints a request may crash before it is given up. */
   maxCrashes: number
--- a/packages/routing/src/test/admission_test.ts
+++ b/packages/routing/src/test/admission_test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { ManualClock } from '@clementineloft/kernel'
 import { Admission, RetryBudget, SlowdownMeter } from '@clementineloft/routing'
 
 const factors: Record<string, number> = { paying: 8, rival: 8, unpaid: 1 }
@@ -28,11 +29,14 @@
 })
 
 test('retries end with their budget and come back with successes', () => {
-  const budget = new RetryBudget(0.5, 2)
+  const clock = new ManualClock()
+  const budget = new RetryBudget(0.5, 1, 2, clock)
   assert.deepEqual([budget.take(), budget.take(), budget.take()], [true, true, false])
   budget.recordSuccess()
   budget.recordSuccess()
   assert.deepEqual([budget.take(), budget.take()], [true, false])
+  clock.advance(1000)
+  assert.deepEqual([budget.take(), budget.take()], [true, false])
 })
 
 test('an engine that becomes slow reports it, and reports health when it is fast again', () => {
--- a/packages/routing/src/test/pipeline-run_property_test.ts
+++ b/packages/routing/src/test/pipeline-run_property_test.ts
@@ -224,7 +224,7 @@
     const recorder = new Recorder()
     const request = { request: 'r', team: 't', model: 'm', prompt: 'p', fingerprint: 'f', isSuspect: false, maxTokens, deadlineMs: 0 }
     const source = new GraphSource(graph, new PipelinePicker(new LoadTable(), random))
-    network.run = new PipelineRun(request, source, network, recorder, clock, options, new RetryBudget(1, 100))
+    network.run = new PipelineRun(request, source, network, recorder, clock, options, new RetryBudget(1, 1, 100, clock))
     network.run.start()
     for (const harm of harms) {
       await clock.advanceGradually(harm.afterMs, 1)
--- a/packages/routing/src/test/pipeline-run_test.ts
+++ b/packages/routing/src/test/pipeline-run_test.ts
@@ -54,7 +54,7 @@
   const recorder = new Recorder()
   const request = { request: 'r', team: 't', model: 'm', prompt: 'p', fingerprint: 'f', isSuspect: false, maxTokens: 5, deadlineMs }
   const options = { openTimeoutMs: 300, stallMs: 300, probeTimeoutMs: 200, maxReplacements: 12, maxCrashes: 2 }
-  const run = new PipelineRun(request, new FakeSource(), port, recorder, clock, options, new RetryBudget(0, retries))
+  const run = new PipelineRun(request, new FakeSource(), port, recorder, clock, options, new RetryBudget(0, 0, retries, clock))
   run.start()
   return { run, clock, port, recorder }
 }
@@ -105,3 +105,18 @@
   run.resume()
   assert.deepEqual(port.positions, [0, 1])
 })
+
+test('a run that generates tokens is not given up, however often its stages are lost', () => {
+  const { run, port, recorder } = createRun()
+  const rows = [new Uint8Array(1)]
+  for (let turn = 0; turn < 4; turn++) {
+    for (let loss = 0; loss < 10; loss++) run.handleLost(port.opened.at(-1) as string, 'link lost')
+    const status = { request: 'r', attempt: port.attempt, stage: 0, acceptedTo: 0, completedTo: 0, loggedFrom: 0, promptRows: rows }
+    run.handleFrame(port.opened.at(-1) as string, { status })
+    const token = { row: new Uint8Array(1), text: 't', isLast: false }
+    run.handleFrame(port.opened.at(-1) as string, { tokens: { request: 'r', attempt: port.attempt, position: turn, tokens: [token] } })
+  }
+  assert.equal(recorder.error, undefined)
+  for (let loss = 0; loss < 13; loss++) run.handleLost(port.opened.at(-1) as string, 'link lost')
+  assert.match(String(recorder.error), /12 times without a token/)
+})
--- a/packages/stand-ins/src/measure/measure-overload.ts
+++ b/packages/stand-ins/src/measure/measure-overload.ts
@@ -1,7 +1,7 @@
 /**
  * Goodput and refusals under overload, with and without a retry budget and admission by terms.
  */
-import { SeededRandom } from '@clementineloft/kernel'
+import { ManualClock, SeededRandom } from '@clementineloft/kernel'
 import { Admission, RetryBudget } from '@clementineloft/routing'
 import type { MeasuredTable } from './table.js'
 
@@ -44,7 +44,8 @@
 /** Offers a load for a minute; callers of refused requests come back once. */
 const runLoad = (way: Way, load: number, failedFrom?: number): Outcome => {
   const random = new SeededRandom(seed)
-  const budget = new RetryBudget(0.2, 50)
+  const clock = new ManualClock()
+  const budget = new RetryBudget(0.2, 1, 50, clock)
   const admissions = Array.from({ length: endpoints }, () => new Admission(() => places, (team) => way.hasTerms ? freeFactors[team] as number : Infinity))
   const spentOnRefusals = new Array<number>(endpoints).fill(0)
   const running: Array<{ endpoint: number, team: string, left: number }> = []
@@ -74,6 +75,7 @@
     if (isFresh) returning.push({ at: now + impatienceSeconds, team })
   }
   for (let now = 0; now < seconds; now += stepSeconds) {
+    clock.advance(stepSeconds * 1000)
     for (let due = load * capacity * stepSeconds; due > random.next(); due--) {
       const team = random.pickItem(classes)
       arrived.set(team, (arrived.get(team) as number) + 1)
