Check engines' answers; a late or senseless answer is no crash

Cause, found by writing the missing test: an engine that was late or gave garbage counted as crashed by the request, so two frozen engines would have quarantined an innocent request. Ruled out: counting by the executor's own time limit, which races with the client's of the same length. Before: 'endpoint-failed, unknown' for both. Conclusion: only a connection that breaks during a step is a crash.

--- a/packages/clementineloft/src/lib/http-client.ts
+++ b/packages/clementineloft/src/lib/http-client.ts
@@ -34,7 +34,8 @@
    * Sends a request and reads the whole response.
    *
    * @param call - the request
-   * @throws `endpoint-failed`: with outcome `not-run` if no connection was made, `unknown` otherwise
+   * @throws `endpoint-failed`: with outcome `not-run` if no connection was made, `unknown` otherwise; `deadline` with
+   *   outcome `unknown` after the time limit
    */
   send (call: HttpCall): Promise<HttpReply> {
     return new Promise((resolve, reject) => {
@@ -45,7 +46,9 @@
       const headers = call.body === undefined ? call.headers : { ...call.headers, 'content-length': call.body.byteLength }
       const request = openRequest(call.url, { method: call.method, headers, agent: this.agent })
       const timer = setTimeout(() => {
-        fail(`no answer within ${call.timeoutMs} ms`)
+        reject(createError(ErrorKind.deadline, `${call.method} ${call.url.origin}${call.url.pathname}: no answer within ${call.timeoutMs} ms`, {
+          outcome: Outcome.unknown
+        }))
         request.destroy()
       }, call.timeoutMs)
       request.on('close', () => { clearTimeout(timer) })
--- a/packages/clementineloft/src/lib/http-model-engine.ts
+++ b/packages/clementineloft/src/lib/http-model-engine.ts
@@ -2,7 +2,8 @@
  * Adapter of a model engine over HTTP. Steps of the same turn of the event loop travel in one call, for the engine to
  * batch.
  */
-import { createError, ErrorKind, getErrorMessage, getErrorOutcome, Outcome } from '@clementineloft/kernel'
+import { z } from 'zod'
+import { createError, ErrorKind, getErrorKind, getErrorMessage, getErrorOutcome, Outcome } from '@clementineloft/kernel'
 import { ModelEngine } from '@clementineloft/routing'
 import type { EngineStep, StageOutput } from '@clementineloft/routing'
 import { modelEngines } from './adapters.js'
@@ -15,20 +16,34 @@
   reject: (error: unknown) => void
 }
 
+const rowsSchema = z.object({ rows: z.array(z.base64()) })
+
+const resultSchema = z.object({
+  session: z.string(),
+  position: z.int(),
+  /** Activations. */
+  rows: z.array(z.base64()).optional(),
+  tokens: z.array(z.object({ row: z.base64(), text: z.string(), isLast: z.boolean() })).optional(),
+  error: z.string().optional()
+})
+const resultsSchema = z.object({ results: z.array(resultSchema) })
+
 /** A result of one step, as the engine's API gives it. */
-interface StepResult {
-  session?: string
-  position?: number
-  /** Activations in base64. */
-  rows?: string[]
-  tokens?: Array<{ row: string, text: string, isLast: boolean }>
-  error?: string
-}
+type StepResult = z.infer<typeof resultSchema>
 
 const decodeRow = (row: string): Uint8Array => Buffer.from(row, 'base64')
 
 const encodeRow = (row: Uint8Array): string => Buffer.from(row).toString('base64')
 
+/** An answer that makes no sense is a fault of the engine's program and no crash that the request caused. */
+const parseReply = <T>(reply: HttpReply, schema: z.ZodType<T>): T => {
+  try {
+    return schema.parse(JSON.parse(reply.body.toString()))
+  } catch (error) {
+    throw createError(ErrorKind.internal, 'engine gave an answer that makes no sense', { outcome: Outcome.unknown, cause: error })
+  }
+}
+
 /** Speaks `POST /v1/encode`, `/v1/steps` and `/v1/end`, and `GET /v1/health`. */
 export class HttpModelEngine extends ModelEngine {
   private readonly client = new HttpClient()
@@ -43,7 +58,7 @@
 
   override async encode (model: string, text: string): Promise<Uint8Array[]> {
     const reply = await this.post('/v1/encode', { model, text })
-    return (JSON.parse(reply.body.toString()) as { rows: string[] }).rows.map(decodeRow)
+    return parseReply(reply, rowsSchema).rows.map(decodeRow)
   }
 
   override runStep (step: EngineStep): Promise<StageOutput[]> {
@@ -69,10 +84,10 @@
     const steps = batch.map(({ step }) => ({ ...step, rows: step.rows.map(encodeRow) }))
     try {
       const reply = await this.post('/v1/steps', { steps })
-      const { results } = JSON.parse(reply.body.toString()) as { results: StepResult[] }
+      const { results } = parseReply(reply, resultsSchema)
       batch.forEach((pending, index) => { this.settle(pending, results[index]) })
     } catch (error) {
-      const failure = createError(ErrorKind.endpointFailed, `engine failed: ${getErrorMessage(error)}`, {
+      const failure = createError(getErrorKind(error), `engine failed: ${getErrorMessage(error)}`, {
         outcome: getErrorOutcome(error), cause: error
       })
       for (const pending of batch) pending.reject(failure)
