Refuse new requests while an engine is late

Before: only engines that broke off were checked. Ruled out: counting lateness as a crash again. Conclusion: late engines get no new work until they answer.

--- a/packages/clementineloft/src/lib/run-manager.ts
+++ b/packages/clementineloft/src/lib/run-manager.ts
@@ -11,6 +11,9 @@
 import type { NodeRuntime } from './node-runtime.js'
 import type { ProcessContext } from './process-context.js'
 
+/** Kinds of failures after which an endpoint gets no new requests for a while. */
+const avoidedAfter: ReadonlySet<string> = new Set([ErrorKind.noCapacity, ErrorKind.endpointFailed, ErrorKind.deadline])
+
 /** Picks endpoints for the runs of one model. */
 class GraphSource extends StageSource {
   constructor (
@@ -138,7 +141,7 @@
   /** Takes a frame from a sidecar. */
   handleFrame (endpoint: string, frame: Frame): void {
     const { failed, refused } = frame
-    if (failed?.kind === ErrorKind.noCapacity || failed?.kind === ErrorKind.endpointFailed) this.directory.avoid(failed.culprit)
+    if (failed != null && avoidedAfter.has(failed.kind)) this.directory.avoid(failed.culprit)
     if (refused?.kind === ErrorKind.noCapacity) this.directory.avoid(endpoint)
     this.runs.get(getFrameRequest(frame))?.handleFrame(endpoint, frame)
   }
--- a/packages/routing/src/lib/stage-host.ts
+++ b/packages/routing/src/lib/stage-host.ts
@@ -18,6 +18,9 @@
 const tombstoneMs = 120_000
 const engineCheckMs = 500
 
+/** Kinds of errors after which an engine must show that it answers. */
+const engineFaults: ReadonlySet<ErrorKind> = new Set([ErrorKind.endpointFailed, ErrorKind.deadline])
+
 /** Sends frames away from a sidecar. */
 export abstract class StageOutlet {
   /** Sends a frame to the entry behind a connection; does nothing if the connection is gone. */
@@ -283,9 +286,9 @@
 
   /** Tells the entry of an error; an engine that could not be reached has not run the request. */
   private reportEngineError (hosted: HostedSession, error: unknown): void {
-    const isEngineFault = getErrorKind(error) === ErrorKind.endpointFailed
-    const kind = isEngineFault && !isEngineCrash(error) ? ErrorKind.noCapacity : getErrorKind(error)
-    if (isEngineFault) void this.waitForEngine()
+    const isUnreached = getErrorKind(error) === ErrorKind.endpointFailed && !isEngineCrash(error)
+    const kind = isUnreached ? ErrorKind.noCapacity : getErrorKind(error)
+    if (engineFaults.has(getErrorKind(error))) void this.waitForEngine()
     this.sendFailed(hosted, kind, getErrorMessage(error), this.context.endpoint)
   }
 
