Give completions a module for each job; time the first token and the parts of the path

Cause: one file parsed requests, wrote answers and started runs; the path table said nothing of the first token or of where the time goes. Ruled out: tracing inside the processes, which would add to what it times. Conclusion: no behaviour changed.

--- /dev/null
+++ b/packages/clementineloft/src/lib/completion-request.ts
@@ -0,0 +1,75 @@
+/**
+ * Requests for completions in the form of the OpenAI API.
+ */
+import { z } from 'zod'
+import { createError, ErrorKind } from '@clementineloft/kernel'
+import { parseJson } from './http-server.js'
+
+const defaultMaxTokens = 256
+const maxMaxTokens = 32_768
+const maxNesting = 32
+
+const contentSchema = z.union([
+  z.string(),
+  z.array(z.object({ type: z.literal('text'), text: z.string() })).transform((parts) => parts.map((part) => part.text).join(''))
+])
+const commonShape = {
+  model: z.string(),
+  stream: z.boolean().nullish(),
+  max_tokens: z.int().min(1).max(maxMaxTokens).nullish()
+}
+const chatSchema = z.object({
+  ...commonShape,
+  max_completion_tokens: z.int().min(1).max(maxMaxTokens).nullish(),
+  messages: z.array(z.object({ role: z.enum(['system', 'developer', 'user', 'assistant', 'tool']), content: contentSchema })).min(1)
+})
+const textSchema = z.object({ ...commonShape, prompt: z.string().min(1) })
+
+/** The two forms of a completion. */
+export const CompletionForm = {
+  chat: 'chat',
+  text: 'text'
+} as const
+export type CompletionForm = typeof CompletionForm[keyof typeof CompletionForm]
+
+/** What a caller asks for. */
+export interface CompletionRequest {
+  form: CompletionForm
+  model: string
+  prompt: string
+  isStream: boolean
+  maxTokens: number
+}
+
+/** Refuses values nested so deeply that working through them would exhaust the stack. */
+const checkNesting = (value: unknown, depth = 0): void => {
+  if (depth > maxNesting) throw createError(ErrorKind.badRequest, `the body is nested deeper than ${maxNesting} levels`)
+  if (typeof value !== 'object' || value === null) return
+  for (const child of Object.values(value)) checkNesting(child, depth + 1)
+}
+
+const parseWith = <T>(schema: z.ZodType<T>, body: unknown): T => {
+  const result = schema.safeParse(body)
+  if (result.success) return result.data
+  const faults = result.error.issues.map((issue) => `"${issue.path.join('.')}": ${issue.message}`)
+  throw createError(ErrorKind.badRequest, `the body has faults: ${faults.join('; ')}`)
+}
+
+/**
+ * @param form - form of the request
+ * @param bytes - its body
+ * @returns the request that it makes
+ * @throws `bad-request` that names every fault
+ */
+export const parseCompletion = (form: CompletionForm, bytes: Buffer): CompletionRequest => {
+  const body = parseJson(bytes)
+  checkNesting(body)
+  if (form === CompletionForm.text) {
+    const { model, prompt, stream, max_tokens: maxTokens } = parseWith(textSchema, body)
+    return { form, model, prompt, isStream: stream ?? false, maxTokens: maxTokens ?? defaultMaxTokens }
+  }
+  const chat = parseWith(chatSchema, body)
+  const prompt = chat.messages.map((message) => `${message.role}: ${message.content}`).join('\n')
+  const maxTokens = chat.max_completion_tokens ?? chat.max_tokens ?? defaultMaxTokens
+  return { form, model: chat.model, prompt, isStream: chat.stream ?? false, maxTokens }
+}
--- a/packages/routing/src/lib/stage-host.ts
+++ b/packages/routing/src/lib/stage-host.ts
@@ -1,5 +1,5 @@
 /**
- * Hosts the sessions of all requests at one model endpoint.
+ * Hosts the requests that run at one model endpoint.
  */
 import { ErrorKind, getErrorKind, getErrorMessage } from '@clementineloft/kernel'
 import type { Clock, Journal, Metrics, Timer } from '@clementineloft/kernel'
--- a/packages/stand-ins/src/measure.ts
+++ b/packages/stand-ins/src/measure.ts
@@ -24,7 +24,7 @@
   overload: { measure: measureOverload },
   claims: { measure: measureClaims, picture: { label: 0, values: [1], axis: 'store writes a second' } },
   spread: { measure: measureSpread, picture: { label: 0, values: [2, 3], axis: 'milliseconds' } },
-  path: { measure: measurePath, picture: { label: 0, values: [1, 2, 3], axis: 'milliseconds' } },
+  path: { measure: measurePath, picture: { label: 0, values: [2, 3, 4], axis: 'milliseconds' } },
   cost: { measure: measurePathCostTable }
 }
 
--- a/packages/stand-ins/src/measure/measure-path.ts
+++ b/packages/stand-ins/src/measure/measure-path.ts
@@ -44,11 +44,10 @@
   return intervals
 }
 
-/** Streams through the entry. */
-const measureRouted = async (fleet: DemoFleet): Promise<{ intervals: number[], firstMs: number }> => {
-  const answer = await streamChat(fleet.entries[0]?.url as string, prompt, tokens)
-  const intervals = answer.tokenMs.slice(1).map((ms, index) => ms - (answer.tokenMs[index] as number))
-  return { intervals, firstMs: answer.tokenMs[0] as number }
+/** Streams through the entry; the first value is the time to the first token. */
+const measureRouted = async (fleet: DemoFleet): Promise<number[]> => {
+  const { tokenMs } = await streamChat(fleet.entries[0]?.url as string, prompt, tokens)
+  return tokenMs.map((ms, index) => ms - (tokenMs[index - 1] ?? 0))
 }
 
 /** Drives a pipeline over links of its own, with activations either forwarded by sidecars or brought back here. */
@@ -144,13 +143,28 @@
 
 const formatQuantiles = (values: readonly number[]): string[] => [0.5, 0.95, 0.99].map((quantile) => computeQuantile(values, quantile).toFixed(2))
 
-const runRepeatedly = async (run: () => Promise<number[]>): Promise<number[]> => {
-  const all: number[] = []
+/** Times of several streams. */
+interface StreamTimes {
+  first: number[]
+  intervals: number[]
+}
+
+const runRepeatedly = async (run: () => Promise<number[]>): Promise<StreamTimes> => {
+  const times: StreamTimes = { first: [], intervals: [] }
   await run()
-  for (let repetition = 0; repetition < repetitions; repetition++) all.push(...await run())
-  return all
+  for (let repetition = 0; repetition < repetitions; repetition++) {
+    const [first = 0, ...intervals] = await run()
+    times.first.push(first)
+    times.intervals.push(...intervals)
+  }
+  return times
 }
 
+const computeMedianGap = (a: readonly number[], b: readonly number[]): string =>
+  (computeQuantile(a, 0.5) - computeQuantile(b, 0.5)).toFixed(2)
+
+const formatTimes = (times: StreamTimes): string[] => [computeQuantile(times.first, 0.5).toFixed(2), ...formatQuantiles(times.intervals)]
+
 /** Measures one stream at a time: direct, routed, forwarded, and with every activation through the caller of stages. */
 export const measurePath = async (): Promise<MeasuredTable> => {
   const fleet = createFleet()
@@ -159,19 +173,18 @@
   await driver.start()
   try {
     const direct = await runRepeatedly(async () => await measureDirect(fleet))
-    const routed = await runRepeatedly(async () => (await measureRouted(fleet)).intervals)
+    const routed = await runRepeatedly(async () => await measureRouted(fleet))
     const forwarded = await runRepeatedly(async () => await driver.run(true))
     const star = await runRepeatedly(async () => await driver.run(false))
-    const added = (computeQuantile(routed, 0.5) - computeQuantile(direct, 0.5)).toFixed(2)
     return {
       title: 'Path of a token over three stages',
-      note: `One stream at a time, ${tokens} tokens, ${repetitions} repetitions after one to warm up, engines that answer at once. Entry and sidecars add ${added} ms to a token at the median.`,
-      columns: ['way', 'p50 ms', 'p95 ms', 'p99 ms'],
+      note: `One stream at a time, ${tokens} tokens, ${repetitions} repetitions after one to warm up, engines that answer at once. Entry and sidecars add ${computeMedianGap(routed.intervals, direct.intervals)} ms to a token and ${computeMedianGap(routed.first, direct.first)} ms to the first at the median; of a token's, sidecars ${computeMedianGap(forwarded.intervals, direct.intervals)} ms, entry and its caller ${computeMedianGap(routed.intervals, forwarded.intervals)} ms.`,
+      columns: ['way', 'first token p50 ms', 'next p50 ms', 'next p95 ms', 'next p99 ms'],
       rows: [
-        ['engines called directly', ...formatQuantiles(direct)],
-        ['through entry and sidecars, streamed to the caller', ...formatQuantiles(routed)],
-        ['stages driven, sidecar forwards to sidecar', ...formatQuantiles(forwarded)],
-        ['stages driven, every activation by way of the driver', ...formatQuantiles(star)]
+        ['engines called directly', ...formatTimes(direct)],
+        ['through entry and sidecars, streamed to the caller', ...formatTimes(routed)],
+        ['stages driven, sidecar forwards to sidecar', ...formatTimes(forwarded)],
+        ['stages driven, every activation by way of the driver', ...formatTimes(star)]
       ]
     }
   } finally {
