--- a/packages/stand-ins/src/faults.ts
+++ b/packages/stand-ins/src/faults.ts
@@ -2,6 +2,7 @@
  * Brings failures about on real processes and prints what came of each. `faults.js NAME…` runs only cases whose name
  * holds one of the names.
  */
+import { readFileSync } from 'node:fs'
 import { callSuite } from './faults/call-faults.js'
 import { streamSuite } from './faults/stream-faults.js'
 import { systemSuite } from './faults/system-faults.js'
@@ -10,6 +11,9 @@
 const suites: FaultSuite[] = [streamSuite, callSuite, systemSuite]
 const wanted = process.argv.slice(2)
 
+/** Names of cases that are listed as red; they run and are printed, and do not count. */
+const knownRed = new Set([...readFileSync(new URL('../../../KNOWN-RED.txt', import.meta.url), 'utf8').matchAll(/^faults: (.+)$/gm)].map((match) => match[1]))
+
 const print = (text: string): void => { process.stdout.write(`${text}\n`) }
 
 const isWanted = (fault: FaultCase): boolean => wanted.length === 0 || wanted.some((name) => fault.name.includes(name))
@@ -36,7 +40,9 @@
     for (const fault of cases) {
       const result = await fault.run(fleet)
       const isPassed = judge(fault, result)
-      if (!isPassed) failures++
+      const isKnown = knownRed.has(fault.name)
+      if (!isPassed && !isKnown) failures++
+      if (isKnown) print(`listed in KNOWN-RED.txt: ${fault.name}`)
       print(`| ${suite.name} | ${fault.name} | ${fault.done} | ${isPassed ? 'kept' : 'BROKEN'}: ${result.seen} | ${formatRecovery(result.recoveryMs)} | ${fault.recoveryBoundMs ?? '-'} |`)
     }
   } catch (error) {
@@ -52,5 +58,5 @@
 print('| --- | --- | --- | --- | --- | --- |')
 let failed = 0
 for (const suite of suites) failed += await runSuite(suite)
-print(failed === 0 ? 'all promises kept' : `${failed} case(s) failed`)
+print(failed === 0 ? 'no case failed that is not listed in KNOWN-RED.txt' : `${failed} case(s) failed`)
 process.exitCode = failed === 0 ? 0 : 1
