Follow the changed line in the mutant of the retry budget

Cause: the line that the mutant edits had changed, so npm run mutants stopped. Before: it threw. Ruled out: matching by line number.

--- a/scripts/run-mutants.js
+++ b/scripts/run-mutants.js
@@ -171,8 +171,8 @@
   {
     mechanism: 'retry budget',
     file: 'routing/dist/lib/pipeline-run.js',
-    from: 'if (!this.retryBudget.take())',
-    to: 'if (false)',
+    from: '&& !this.retryBudget.take()',
+    to: '&& false',
     test: 'routing/dist/test/pipeline-run_test.js'
   },
   {
