Remove a look-up of claims that nothing used

Cause, found by reading: ClaimRange.find had no caller, and claim named an error kind that it never throws. Before: one unused method. After: 31 tests of the package pass, lint clean. Conclusion: no behaviour changed.

--- a/packages/coordination/src/lib/claim-range.ts
+++ b/packages/coordination/src/lib/claim-range.ts
@@ -75,21 +75,12 @@
     this.record = new StoreRecord(store, key, clock)
   }
 
-  /**
-   * Finds what is known of a key without asking the store.
-   *
-   * @returns the claim, or `undefined` if this process does not own the range or the key is free
-   */
-  find (key: string): ClaimEntry<Answer> | undefined {
-    return this.held?.index.get(key)
-  }
-
   /**
    * Claims a key.
    *
    * @param key - the idempotency key, with what scopes it
    * @param fingerprint - digest of the request
-   * @throws `store-unavailable` or `overloaded`, with outcome `not-run`; this process then never runs the request
+   * @throws `store-unavailable`, with outcome `not-run`; this process then never runs the request
    */
   claim (key: string, fingerprint: string): Promise<ClaimResult<Answer>> {
     const { holder, incarnation } = this.options
