--- a/packages/kernel/src/lib/identifiers.ts
+++ b/packages/kernel/src/lib/identifiers.ts
@@ -4,9 +4,16 @@
 import { createHash, randomBytes } from 'node:crypto'
 
 const identifierBytes = 9
+const beginsWithLetter = /^[A-Za-z]/
 
-/** @returns a random identifier of 12 characters that are safe in a URL */
-export const createIdentifier = (): string => randomBytes(identifierBytes).toString('base64url')
+/**
+ * @returns a random identifier of 12 characters that are safe in a URL; the first is a letter, since a command line reads
+ * a value that begins with `-` as a flag
+ */
+export const createIdentifier = (): string => {
+  const identifier = randomBytes(identifierBytes).toString('base64url')
+  return beginsWithLetter.test(identifier) ? identifier : createIdentifier()
+}
 
 /**
  * @param text - any text
--- a/scripts/run-mutants.js
+++ b/scripts/run-mutants.js
@@ -7,6 +7,13 @@
 import { resolve } from 'node:path'
 
 const mutants = [
+  {
+    mechanism: 'identifiers begin with a letter',
+    file: 'kernel/dist/lib/identifiers.js',
+    from: 'beginsWithLetter.test(identifier)',
+    to: 'true',
+    test: 'kernel/dist/test/identifiers_test.js'
+  },
   {
     mechanism: 'positions accepted once',
     file: 'routing/dist/lib/stage-session.js',
