Tell each sidecar its endpoint's layers with the lease holder's requests for reports

Cause: a sidecar learns the layout by one stale watch of up to 30 s. Refused by the store alone, or with a watch on a connection that went silent, it does not follow a new layout until the store answers it, while the holder of the lease writes repairs that count on it. Found by reading, with a test on the emulator: the store refuses one sidecar and the layout changes; its endpoint kept the old layers for the 5 s that the test waits. Ruled out: shorter watches of the layout (33 priced calls each time, and none for a refused process); carrying the whole layout (20 KB at 650 endpoints; the own assignment is 31 B at any size). Change: the holder tells each sidecar its own assignment with the request for reports, each second and as soon as a layout is written; LayerTarget takes the newest revision, whichever way it came. The holder decides on the layout it wrote last, not on the watch's.

--- a/packages/clementineloft/src/lib/forwarding/call-directory.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-directory.ts
@@ -4,7 +4,6 @@
 import { LoadTable, EndpointHealth, PathCosts, StreamProgress } from '@clementineloft/routing'
 import type { CallEndpoint, EndpointReport, EngineTerms, LayerSpan, PathPart, ServiceTerms } from '@clementineloft/routing'
 import type { Clock } from '@clementineloft/kernel'
-import { getHost } from './report-datagrams.js'
 
 /** Time for which the word of a sidecar holds that its endpoint is silent, in milliseconds. */
 const silenceLifeMs = 2500
@@ -93,13 +92,13 @@
     return this.progress.listSuspects(parts).filter(({ endpoint }) => this.isSilent(endpoint) || this.costs.findReport(endpoint.id) === undefined)
   }
 
-  /** @returns hosts of all endpoints of services with engines, beside which sidecars run */
-  listSidecarHosts (): string[] {
-    const hosts: string[] = []
+  /** @returns addresses of all endpoints of services with engines, beside which sidecars run */
+  listEngineAddresses (): string[] {
+    const addresses: string[] = []
     for (const endpoint of this.endpointsByAddress.values()) {
-      if (endpoint.type !== undefined) hosts.push(getHost(endpoint.address))
+      if (endpoint.type !== undefined) addresses.push(endpoint.address)
     }
-    return hosts
+    return addresses
   }
 
   /** @param services - services of the configuration in force */
--- a/packages/clementineloft/src/lib/forwarding/forwarding-entry.ts
+++ b/packages/clementineloft/src/lib/forwarding/forwarding-entry.ts
@@ -47,7 +47,7 @@
   let hasConfig = false
   const [, reportsPort] = settings.instance.reports_address.split(':') as [string, string]
   const reports = new ReportReceiver(
-    settings.instance.reports_address, () => context.directory.listSidecarHosts(), Number(reportsPort),
+    settings.instance.reports_address, () => context.directory.listEngineAddresses().map((address) => ({ address })), Number(reportsPort),
     (message) => {
       applyReport(context, message)
       if (message.checksums === undefined) return
--- a/packages/clementineloft/src/lib/forwarding/layer-sidecar.ts
+++ b/packages/clementineloft/src/lib/forwarding/layer-sidecar.ts
@@ -4,18 +4,26 @@
  */
 import type { KindReplica } from '@clementineloft/coordination'
 import { Freshness } from '@clementineloft/coordination'
-import { EngineOrders } from '@clementineloft/routing'
-import type { LoadedLayers, ReportingEngine } from '@clementineloft/routing'
+import { EngineOrders, LayerTarget } from '@clementineloft/routing'
+import type { LayerSpan, LoadedLayers, ReportingEngine } from '@clementineloft/routing'
 import type { LayerSidecarSettings } from './forwarding-settings.js'
 import { layoutKind, readLayoutRecord } from './layer-layout-record.js'
 import { LayoutKeeper } from './layout-keeper.js'
 import type { PlatformPorts } from './platform-ports.js'
 import { ProcessParts, WatchWait } from './process-parts.js'
+import type { ReportRequest } from './report-codec.js'
 import { ReportSender } from './report-datagrams.js'
 
 /** Time between two looks at the endpoint, in milliseconds; its end or new start is noticed within this time. */
 const checkMs = 300
 
+/** Who told a sidecar of its endpoint's layers. */
+const LayoutSource = {
+  store: 'store',
+  leaseHolder: 'lease-holder'
+} as const
+type LayoutSource = typeof LayoutSource[keyof typeof LayoutSource]
+
 /** Guards one endpoint. */
 class LayerSidecar {
   private readonly parts: ProcessParts
@@ -24,8 +32,7 @@
   private readonly reports: ReportSender
   private readonly layouts: KindReplica
   private readonly keeper: LayoutKeeper
-  private target: LoadedLayers | undefined
-  private fence = 0
+  private readonly target = new LayerTarget()
   private isStopped = false
 
   constructor (
@@ -36,9 +43,9 @@
     const { clock, journal, incarnation } = this.parts
     const { address, service } = settings.endpoint
     this.engine = ports.createEngine(address, service)
-    this.orders = new EngineOrders(settings.instance.name, this.engine, async () => this.fence, () => this.target, clock, journal)
-    this.reports = new ReportSender(settings.instance.reports_address, incarnation, clock, journal)
-    this.layouts = this.parts.follow(layoutKind, (replica) => { this.applyLayout(replica) }, Freshness.stale, WatchWait.patient)
+    this.orders = new EngineOrders(settings.instance.name, this.engine, async () => this.target.getRevision(), () => this.getLoadTarget(), clock, journal)
+    this.reports = new ReportSender(settings.instance.reports_address, incarnation, clock, journal, (request) => { this.handleRequest(request) })
+    this.layouts = this.parts.follow(layoutKind, (replica) => { this.readLayout(replica) }, Freshness.stale, WatchWait.patient)
     this.keeper = new LayoutKeeper(this.parts, service, address, this.layouts)
   }
 
@@ -57,15 +64,27 @@
     this.parts.journal.record({ name: 'stopped' })
   }
 
-  private applyLayout (replica: KindReplica): void {
+  private getLoadTarget (): LoadedLayers | undefined {
+    const span = this.target.getSpan()
+    return span === undefined ? undefined : { model: this.settings.endpoint.service, firstLayer: span.from, lastLayer: span.to - 1 }
+  }
+
+  private readLayout (replica: KindReplica): void {
     const { address, service } = this.settings.endpoint
     const object = replica.find(service)
-    if (object === undefined || object.revision <= this.fence) return
+    if (object === undefined) return
     const { assignments, revision } = readLayoutRecord(object)
-    const own = assignments.find((assignment) => assignment.address === address)
-    this.fence = revision
-    this.target = own === undefined ? undefined : { model: service, firstLayer: own.from, lastLayer: own.to - 1 }
-    this.parts.journal.record({ name: 'layout-applied', data: { revision, from: own?.from ?? 0, to: own?.to ?? 0 } })
+    this.applyLayout(revision, assignments.find((assignment) => assignment.address === address), LayoutSource.store)
+  }
+
+  private handleRequest ({ address, assignment }: ReportRequest): void {
+    if (assignment === undefined || address !== this.settings.endpoint.address) return
+    this.applyLayout(assignment.revision, assignment.span, LayoutSource.leaseHolder)
+  }
+
+  private applyLayout (revision: number, span: LayerSpan | undefined, source: LayoutSource): void {
+    if (!this.target.apply(revision, span)) return
+    this.parts.journal.record({ name: 'layout-applied', data: { revision, from: span?.from ?? 0, to: span?.to ?? 0, source } })
   }
 
   private async followEndpoint (): Promise<void> {
--- a/packages/clementineloft/src/lib/forwarding/layout-keeper.ts
+++ b/packages/clementineloft/src/lib/forwarding/layout-keeper.ts
@@ -1,15 +1,15 @@
 /**
  * Keeps the layout of one service up to date while this process holds the lease for it.
  */
-import type { KindReplica } from '@clementineloft/coordination'
+import type { KindObject, KindReplica } from '@clementineloft/coordination'
 import { Freshness, rankCandidates, TimedLease } from '@clementineloft/coordination'
 import { ErrorKind, getErrorKind, getErrorMessage } from '@clementineloft/kernel'
 import { countCopies, LayoutPolicy } from '@clementineloft/routing'
 import type { CallEndpoint, EngineTerms } from '@clementineloft/routing'
 import { createLayoutSpec, layoutKind, leaseKind, readLayoutRecord } from './layer-layout-record.js'
 import type { ProcessParts } from './process-parts.js'
-import { getHost, ReportReceiver } from './report-datagrams.js'
-import type { ReplicaChecksums } from './report-codec.js'
+import { ReportReceiver } from './report-datagrams.js'
+import type { ReplicaChecksums, ReportRequest } from './report-codec.js'
 
 /** Time without a renewal after which the lease may be taken, in milliseconds. */
 const leaseTermMs = 2400
@@ -31,6 +31,8 @@
   private readonly silent = new Set<string>()
   private reports: ReportReceiver | undefined
   private followed: KindReplica[] = []
+  /** The layout that this process wrote last; the watch brings it later. */
+  private written: KindObject | undefined
   private isStopped = false
 
   constructor (
@@ -102,7 +104,7 @@
     ]
     const [host, port] = this.parts.settings.instance.reports_address.split(':') as [string, string]
     this.reports = new ReportReceiver(
-      `${host}:${Number(port) + 1}`, () => this.endpoints.map((endpoint) => getHost(endpoint.address)), Number(port),
+      `${host}:${Number(port) + 1}`, () => this.listRequests(), Number(port),
       ({ address, report }) => {
         if (report === undefined) this.silent.add(address)
         else this.silent.delete(address)
@@ -119,6 +121,23 @@
     this.silent.clear()
   }
 
+  /** @returns the newest layout that this process knows */
+  private findLayout (): KindObject | undefined {
+    const read = this.layouts.find(this.service)
+    return (this.written?.revision ?? 0) > (read?.revision ?? 0) ? this.written : read
+  }
+
+  /** Asks for the report of each endpoint, and tells its sidecar what the layout gives it. */
+  private listRequests (): ReportRequest[] {
+    const object = this.findLayout()
+    const { revision, assignments } = object === undefined ? { revision: 0, assignments: [] } : readLayoutRecord(object)
+    const spans = new Map(assignments.map(({ address, from, to }) => [address, { from, to }]))
+    return this.endpoints.map(({ address }) => {
+      const span = spans.get(address)
+      return span === undefined ? { address } : { address, assignment: { revision, span } }
+    })
+  }
+
   private async decideUntilRenewal (): Promise<void> {
     const { clock } = this.parts
     const untilMs = clock.now() + renewalMs
@@ -133,18 +152,19 @@
     const { clock, store, journal } = this.parts
     if (engine === undefined) return
     this.policy.observe(this.endpoints, this.silent, engine, clock.now())
-    const object = this.layouts.find(service)
+    const object = this.findLayout()
     const present = object === undefined ? undefined : readLayoutRecord(object)
     const next = this.policy.decide(present?.assignments, engine, clock.now())
     if (next === undefined) return
     const spec = createLayoutSpec(next)
     if (JSON.stringify(spec) === JSON.stringify(object?.spec)) return
     try {
-      const written = object === undefined
+      this.written = object === undefined
         ? await store.create(layoutKind, service, spec)
         : await store.replace(layoutKind, service, spec, object.revision)
+      this.reports?.ask()
       const fewestCopies = Math.min(...countCopies(next, engine.layers))
-      journal.record({ name: 'layout-written', data: { revision: written.revision, assignments: next.length, fewestCopies } })
+      journal.record({ name: 'layout-written', data: { revision: this.written.revision, assignments: next.length, fewestCopies } })
       await clock.wait(renewalMs)
     } catch (error) {
       const isConflict = getErrorKind(error) === ErrorKind.conflict
--- a/packages/clementineloft/src/lib/forwarding/report-codec.ts
+++ b/packages/clementineloft/src/lib/forwarding/report-codec.ts
@@ -3,7 +3,7 @@
  * counts: a quarter of the same in JSON.
  */
 import { createError, ErrorKind } from '@clementineloft/kernel'
-import type { EndpointReport } from '@clementineloft/routing'
+import type { EndpointReport, LayerSpan } from '@clementineloft/routing'
 import { clementineloft as wire } from '../../../generated/report.js'
 
 /** Checksums of copies of the platform's objects, as a process holds them that watches the latest state. */
@@ -12,6 +12,21 @@
   config: number
 }
 
+/** The layers that a layout gives one endpoint. */
+export interface ToldAssignment {
+  /** Revision of the layout; the fencing number of orders that follow it. */
+  revision: number
+  span: LayerSpan
+}
+
+/** What an entry, or the holder of the lease, asks a sidecar for: reports of its endpoint. */
+export interface ReportRequest {
+  /** Address of the endpoint. */
+  address: string
+  /** Present in requests of the holder of the lease. */
+  assignment?: ToldAssignment
+}
+
 /** What a sidecar tells entries. */
 export interface ReportMessage {
   /** Address of the endpoint. */
@@ -42,12 +57,38 @@
   pace: report.pace
 })
 
-/** @returns the bytes of a datagram */
+/** @returns the bytes of a request */
+export const encodeRequest = ({ address, assignment }: ReportRequest): Uint8Array => {
+  if (assignment === undefined) return wire.ReportRequest.encode({ address }).finish()
+  const { revision, span } = assignment
+  return wire.ReportRequest.encode({ address, assignment: { revision, fromLayer: span.from, toLayer: span.to } }).finish()
+}
+
+/**
+ * @returns the request in a datagram
+ * @throws `bad-request` if it holds none
+ */
+export const decodeRequest = (bytes: Uint8Array): ReportRequest => {
+  let request: wire.ReportRequest
+  try {
+    request = wire.ReportRequest.decode(bytes)
+  } catch (error) {
+    throw createError(ErrorKind.badRequest, 'the datagram is not a request for reports', { cause: error })
+  }
+  const { address, assignment } = request
+  if (address === '') throw createError(ErrorKind.badRequest, 'the request names no endpoint')
+  if (assignment == null) return { address }
+  const { revision, fromLayer: from, toLayer: to } = assignment as wire.LayerAssignment
+  if (revision <= 0 || to <= from) throw createError(ErrorKind.badRequest, `layers ${from} to ${to} of layout ${revision} are no assignment`)
+  return { address, assignment: { revision, span: { from, to } } }
+}
+
+/** @returns the bytes of a report */
 export const encodeReport = ({ report, ...message }: ReportMessage): Uint8Array =>
   wire.ReportDatagram.encode({ ...message, ...(report === undefined ? {} : { report: formatReport(report) }) }).finish()
 
 /**
- * @returns the message in a datagram
+ * @returns the report in a datagram
  * @throws `bad-request` if it holds none
  */
 export const decodeReport = (bytes: Uint8Array): ReportMessage => {
--- a/packages/clementineloft/src/lib/forwarding/report-datagrams.ts
+++ b/packages/clementineloft/src/lib/forwarding/report-datagrams.ts
@@ -2,18 +2,17 @@
  * Reports of model endpoints from their sidecars to all entries, as datagrams: each report replaces the one before, so
  * that a lost one does no harm, and no connection for each pair of processes is needed.
  *
- * An entry asks every sidecar once a second; a sidecar sends to whoever has asked lately.
+ * An entry asks every sidecar once a second; a sidecar sends to whoever has asked lately. The holder of the lease asks as
+ * well, and tells each sidecar with it which layers its endpoint shall hold.
  */
 import { createSocket } from 'node:dgram'
 import type { RemoteInfo, Socket } from 'node:dgram'
 import { getErrorMessage } from '@clementineloft/kernel'
 import type { Clock, Journal } from '@clementineloft/kernel'
 import type { EndpointReport } from '@clementineloft/routing'
-import { decodeReport, encodeReport } from './report-codec.js'
-import type { ReplicaChecksums, ReportMessage } from './report-codec.js'
+import { decodeReport, decodeRequest, encodeReport, encodeRequest } from './report-codec.js'
+import type { ReplicaChecksums, ReportMessage, ReportRequest } from './report-codec.js'
 
-/** A request for reports; that it comes says all. */
-const askBytes = Buffer.from('?')
 /** Time between two requests for reports, in milliseconds. */
 const askIntervalMs = 1000
 /** Time for which a request for reports holds, in milliseconds: two of them may be lost. */
@@ -37,14 +36,22 @@
   private readonly subscribers = new Map<string, { host: string, port: number, untilMs: number }>()
   private number = 0
 
+  /**
+   * @param address - own address
+   * @param handleRequest - receives each request that can be read
+   */
   constructor (
     address: string,
     private readonly incarnation: string,
     private readonly clock: Clock,
-    journal: Journal
+    private readonly journal: Journal,
+    handleRequest: (request: ReportRequest) => void
   ) {
-    this.socket = openSocket(address, journal, (_, from) => {
+    this.socket = openSocket(address, journal, (bytes, from) => {
+      const request = this.parse(bytes)
+      if (request === undefined) return
       this.subscribers.set(`${from.address}:${from.port}`, { host: from.address, port: from.port, untilMs: clock.now() + subscriptionMs })
+      handleRequest(request)
     })
   }
 
@@ -71,6 +78,15 @@
   close (): void {
     this.socket.close()
   }
+
+  private parse (bytes: Buffer): ReportRequest | undefined {
+    try {
+      return decodeRequest(bytes)
+    } catch (error) {
+      this.journal.record({ name: 'report-request-unreadable', detail: getErrorMessage(error) })
+      return undefined
+    }
+  }
 }
 
 /** The entry's end. */
@@ -81,13 +97,13 @@
 
   /**
    * @param address - own address
-   * @param listSidecars - hosts of the sidecars to ask
+   * @param listRequests - what to ask of which endpoint's sidecar
    * @param sidecarPort - port of all sidecars
    * @param apply - receives each message that is newer than those before
    */
   constructor (
     address: string,
-    private readonly listSidecars: () => string[],
+    private readonly listRequests: () => ReportRequest[],
     private readonly sidecarPort: number,
     apply: (message: ReportMessage) => void,
     private readonly journal: Journal
@@ -101,7 +117,9 @@
 
   /** Asks all sidecars for reports. */
   ask (): void {
-    for (const host of this.listSidecars()) this.socket.send(askBytes, this.sidecarPort, host, () => { /* Asked again in a second. */ })
+    for (const request of this.listRequests()) {
+      this.socket.send(encodeRequest(request), this.sidecarPort, getHost(request.address), () => { /* Asked again in a second. */ })
+    }
   }
 
   /** Closes the socket. */
--- a/packages/clementineloft/src/test/report-codec_test.ts
+++ b/packages/clementineloft/src/test/report-codec_test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { ErrorKind, getErrorKind } from '@clementineloft/kernel'
-import { decodeReport, encodeReport } from '../lib/forwarding/report-codec.js'
+import { decodeReport, decodeRequest, encodeReport, encodeRequest } from '../lib/forwarding/report-codec.js'
 import type { ReportMessage } from '../lib/forwarding/report-codec.js'
 
 const message: ReportMessage = {
@@ -26,6 +26,20 @@
   assert.deepEqual(decodeReport(encodeReport({ ...silent, report: empty })).report, empty)
 })
 
+test('a request comes back as it was, with and without an assignment', () => {
+  const { address } = message
+  const assignment = { revision: 2 ** 40, span: { from: 0, to: 24 } }
+  assert.deepEqual(decodeRequest(encodeRequest({ address })), { address })
+  assert.deepEqual(decodeRequest(encodeRequest({ address, assignment })), { address, assignment })
+})
+
+test('bytes that are no request, a request of nobody and an assignment without layers are refused', () => {
+  const assignment = { revision: 3, span: { from: 5, to: 5 } }
+  for (const bytes of [Buffer.from('?'), Buffer.alloc(0), encodeRequest({ address: 'a:1', assignment })]) {
+    assert.throws(() => decodeRequest(bytes), (error: unknown) => getErrorKind(error) === ErrorKind.badRequest)
+  }
+})
+
 test('a datagram is under half as long as in JSON', () => {
   const { checksums, ...usual } = message
   assert.ok(encodeReport(usual).byteLength < JSON.stringify(usual).length / 2, `${encodeReport(usual).byteLength} bytes`)
--- a/packages/stand-ins/src/test/platform_test.ts
+++ b/packages/stand-ins/src/test/platform_test.ts
@@ -185,6 +185,30 @@
   assert.ok(await waitUntil(async () => (await send('/later/1', { method: 'GET' })).status === 200, 5000))
 })
 
+test('a sidecar that the store refuses is told its layers by the holder of the lease', async () => {
+  const layout = platform.store.read('clementineloft-layouts', 'model') as { assignments: Array<{ address: string, from: number, to: number }> }
+  const refused = 'sidecar-2'
+  const worker = platform.workers[1] as typeof platform.workers[number]
+  const before = layout.assignments.find(({ address }) => address === worker.getAddress()) as { address: string, from: number, to: number }
+  const writeSpan = (from: number, to: number): void => {
+    const assignments = layout.assignments.map((each) => each === before ? { ...each, from, to } : each)
+    platform.store.write('clementineloft-layouts', 'model', { assignments })
+  }
+  const hasSpan = (from: number, to: number): boolean => worker.layers?.from === from && worker.layers.to === to
+  platform.store.refusedHosts.add(platform.getStoreHost(refused))
+  try {
+    await wait(500)
+    const { from, to } = before
+    const [otherFrom, otherTo] = to - from > 1 ? [from, to - 1] : [from, to]
+    writeSpan(otherFrom, otherTo)
+    assert.ok(await waitUntil(async () => hasSpan(otherFrom, otherTo), 5000), `it holds ${JSON.stringify(worker.layers)}`)
+    writeSpan(from, to)
+    assert.ok(await waitUntil(async () => hasSpan(from, to), 5000), `it holds ${JSON.stringify(worker.layers)}`)
+  } finally {
+    platform.store.refusedHosts.clear()
+  }
+})
+
 test('a dropped history and keys that are taken away are seen by every entry', async () => {
   platform.store.dropHistory()
   platform.writeConfig({ river: emulatedKeys.river })
--- a/scripts/run-mutants.js
+++ b/scripts/run-mutants.js
@@ -7,6 +7,13 @@
 import { resolve } from 'node:path'
 
 const mutants = [
+  {
+    mechanism: 'an older layout changes nothing',
+    file: 'routing/dist/lib/layers/layer-target.js',
+    from: 'revision <= this.revision',
+    to: 'revision === this.revision',
+    test: 'routing/dist/test/layer-target_test.js'
+  },
   {
     mechanism: 'a silent watch is sent again',
     file: 'coordination/dist/lib/kind-replica.js',
