Split the attempts of a forwarded call from the call that makes them

Change: CallAttempt is one sending to one place and tells once how it ended; CallRun keeps the decisions. Ruled out: a change of behaviour; order of bookkeeping at a place and conditions for the end are those of before.

--- /dev/null
+++ b/packages/clementineloft/src/lib/forwarding/call-attempt.ts
@@ -0,0 +1,214 @@
+/**
+ * One sending of a call to one place: relays the answer as it comes, and tells how it ended with the evidence for it.
+ */
+import type { IncomingMessage } from 'node:http'
+import { AttemptEnd, Evidence, Repeatability } from '@clementineloft/routing'
+import type { PathPart } from '@clementineloft/routing'
+import type { AnswerWriter } from '../callers/answer-writer.js'
+import type { AdmittedCall } from './admitted-call.js'
+import { AnswerRelay } from './answer-relay.js'
+import type { EndpointFailure } from './attempt-history.js'
+import type { AnswerHead, Delivery } from './call-protocol.js'
+import type { Placement } from './call-placement.js'
+import type { EndpointExchange } from './endpoint-exchange.js'
+import type { ForwardingContext } from './forwarding-context.js'
+
+/** Longest time to set up a connection to an endpoint, in milliseconds; some hundred round trips. */
+const connectTimeoutMs = 400
+
+/** How an attempt ended that did not bring a whole answer. */
+export interface AttemptResult {
+  end: AttemptEnd
+  /** Whether the call may have run at the endpoint. */
+  mayHaveRun: boolean
+  /** The endpoint's own failure, if it answered with one. */
+  failure?: EndpointFailure
+}
+
+/** Receives what becomes of an attempt: events as they pass, then one end; nothing after it was stopped. */
+export interface AttemptListener {
+  /** Whole events have been passed on; the identity of the last is absent if it has none. */
+  handleEvents: (count: number, lastId: string | undefined) => void
+  /** The answer is whole. `finish` sends the rest of it to the caller. */
+  handleWhole: (finish: () => void) => void
+  /** The attempt has ended and left its place. */
+  handleEnd: (result: AttemptResult) => void
+  /** Writes a line on a decision. */
+  record: (name: string, data: Record<string, string | number | boolean>) => void
+}
+
+/** What an attempt adds to its call. */
+export interface AttemptStart {
+  placement: Placement
+  /** Milliseconds left for the call. */
+  remainingMs: number
+  /** Event after which a stream goes on. */
+  lastEventId?: string
+}
+
+/** @returns the path of a call for a log line */
+const describePath = ({ endpoint, parts }: Placement): string =>
+  parts?.map((part) => `${part.endpoint.address}=${part.from}-${part.to}`).join(' ') ?? endpoint.address
+
+/** One attempt; it begins when it is created. */
+export class CallAttempt {
+  private currentPlacement: Placement
+  private readonly exchange: EndpointExchange
+  private isOver = false
+
+  constructor (
+    private readonly context: ForwardingContext,
+    private readonly routed: AdmittedCall,
+    private readonly writer: AnswerWriter,
+    start: AttemptStart,
+    private readonly listener: AttemptListener
+  ) {
+    this.currentPlacement = start.placement
+    context.placement.recordStart(start.placement)
+    this.exchange = this.open(start)
+  }
+
+  /** @returns where the call runs */
+  getPlacement (): Placement {
+    return this.currentPlacement
+  }
+
+  /** Goes on over other parts, to which the endpoint has agreed. */
+  changeParts (parts: PathPart[]): void {
+    const { placement } = this.context
+    placement.recordEnd(this.currentPlacement)
+    this.currentPlacement = { ...this.currentPlacement, parts }
+    placement.recordStart(this.currentPlacement)
+  }
+
+  /** Leaves the place, so that the endpoint stops working on the call. */
+  cancel (): void {
+    if (this.isOver) return
+    this.isOver = true
+    this.context.placement.recordEnd(this.currentPlacement)
+    this.exchange.cancel()
+  }
+
+  /** Leaves the place after a whole answer; the connection is kept. */
+  complete (): void {
+    if (this.isOver) return
+    this.isOver = true
+    this.context.placement.recordEnd(this.currentPlacement)
+    this.context.directory.health.recordSuccess(this.currentPlacement.endpoint.id)
+  }
+
+  private open ({ placement, remainingMs, lastEventId }: AttemptStart): EndpointExchange {
+    const { call, route, team, body } = this.routed
+    const { endpoint, parts } = placement
+    const delivery: Delivery = {
+      endpointId: endpoint.id,
+      remainingMs,
+      bodyBytes: body.byteLength,
+      ...(team === undefined ? {} : { team }),
+      ...(parts === undefined ? {} : { parts }),
+      ...(lastEventId === undefined ? {} : { lastEventId })
+    }
+    this.listener.record('call-sent', { endpoint: endpoint.address, remainingMs, path: describePath(placement) })
+    return this.context.exchanges.open({
+      method: call.method,
+      target: call.target,
+      address: endpoint.address,
+      headers: this.context.protocol.createHeaders(call, delivery),
+      body,
+      needsFreshConnection: route.repeatability === Repeatability.atMostOnce && !route.isResumable,
+      connectTimeoutMs
+    }, {
+      handleHead: (response) => { this.handleHead(response) },
+      handleFailure: (wasSent, reason) => { this.handleLost(wasSent, reason) }
+    })
+  }
+
+  private handleLost (wasSent: boolean, reason: string): void {
+    if (this.isOver) return
+    const { endpoint } = this.currentPlacement
+    this.noteFailure(endpoint.id, Evidence.lost)
+    this.listener.record('endpoint-lost', { endpoint: endpoint.address, wasSent, reason })
+    this.end({ end: wasSent ? AttemptEnd.unknown : AttemptEnd.notRun, mayHaveRun: wasSent })
+  }
+
+  private handleHead (response: IncomingMessage): void {
+    if (this.isOver) {
+      response.destroy()
+      return
+    }
+    const head = this.context.protocol.readHead(this.routed.call, response)
+    const { endpoint } = this.currentPlacement
+    if (head.load !== undefined) this.context.directory.loads.recordReport(endpoint.id, head.load.running + head.load.waiting)
+    if (!head.isOwn) {
+      response.destroy()
+      this.listener.record('answer-crossed', { endpoint: endpoint.address })
+      this.end({ end: AttemptEnd.unknown, mayHaveRun: true })
+      return
+    }
+    if (head.isNotRun) {
+      response.resume()
+      this.handleNotRun(head)
+      return
+    }
+    if (head.status >= 200 && head.status < 300) this.forward(head, response)
+    else this.readFailure(head, response)
+  }
+
+  private handleNotRun (head: AnswerHead): void {
+    const { endpoint } = this.currentPlacement
+    const fault = head.faultAddress === undefined ? endpoint : this.context.directory.findByAddress(head.faultAddress)
+    if (fault !== undefined) this.noteFailure(fault.id, head.isOtherEndpoint ? Evidence.lost : Evidence.refused)
+    this.listener.record('call-not-run', { endpoint: endpoint.address, status: head.status, fault: head.faultAddress ?? '' })
+    this.end({ end: AttemptEnd.notRun, mayHaveRun: false })
+  }
+
+  private readFailure (head: AnswerHead, response: IncomingMessage): void {
+    const { endpoint } = this.currentPlacement
+    this.createRelay(head, response).readBody((body) => {
+      this.noteFailure(endpoint.id, Evidence.failed)
+      this.listener.record('endpoint-failed', { endpoint: endpoint.address, status: head.status })
+      this.end({ end: this.chooseEnd(AttemptEnd.failed), mayHaveRun: true, failure: { head, body } })
+    }, () => { this.end({ end: this.chooseEnd(AttemptEnd.unknown), mayHaveRun: true }) })
+  }
+
+  private forward (head: AnswerHead, response: IncomingMessage): void {
+    const relay = this.createRelay(head, response)
+    const listener = {
+      handleEvents: (count: number, lastId: string | undefined) => { this.noteEvents(count, lastId) },
+      handleWhole: () => { this.listener.handleWhole(() => { relay.finish() }) },
+      handleCut: (reason: string) => { this.handleCut(reason) }
+    }
+    if (this.routed.route.isStream) relay.forwardEvents(listener)
+    else relay.forwardBody(listener)
+  }
+
+  private createRelay (head: AnswerHead, response: IncomingMessage): AnswerRelay {
+    return new AnswerRelay(head, response, this.exchange, this.writer, () => !this.isOver)
+  }
+
+  private noteEvents (count: number, lastId: string | undefined): void {
+    const { parts } = this.currentPlacement
+    if (parts !== undefined) this.context.directory.progress.record(parts)
+    this.listener.handleEvents(count, lastId)
+  }
+
+  private handleCut (reason: string): void {
+    this.listener.record('answer-cut', { endpoint: this.currentPlacement.endpoint.address, reason })
+    this.end({ end: this.chooseEnd(AttemptEnd.unknown), mayHaveRun: true })
+  }
+
+  /** @returns the end as the caller sees it: once it has part of an answer, the answer was cut */
+  private chooseEnd (end: AttemptEnd): AttemptEnd {
+    return this.writer.hasBegun() ? AttemptEnd.cut : end
+  }
+
+  private noteFailure (endpoint: string, evidence: Evidence): void {
+    this.context.directory.health.recordFailure(endpoint, evidence)
+  }
+
+  private end (result: AttemptResult): void {
+    if (this.isOver) return
+    this.cancel()
+    this.listener.handleEnd(result)
+  }
+}
