Record why a sidecar refused a stage

Before: no event for a refused stage; the new assertion fails. After: `stage-refused` with request, team, reason, requests held and places.

--- a/packages/routing/src/lib/stage-host.ts
+++ b/packages/routing/src/lib/stage-host.ts
@@ -242,7 +242,9 @@
 
   private refuse (connection: string, open: OpenFrame, kind: ErrorKind, message: string): void {
     this.context.metrics.count(`stage_refused_total{kind="${kind}"}`)
-    const { request, attempt, stage } = open
+    const { request, team, attempt, stage } = open
+    const data = { kind, held: this.sessions.size, places: this.context.getPlaces() }
+    this.context.journal.record({ name: 'stage-refused', request, team, endpoint: this.context.endpoint, detail: message, data })
     this.outlet.sendToEntry(connection, { refused: { request, attempt, stage, kind, message } })
   }
 
--- a/packages/routing/src/test/stage-host_test.ts
+++ b/packages/routing/src/test/stage-host_test.ts
@@ -49,8 +49,9 @@
     isSuspect: () => false,
     isQuarantined: () => false
   }
+  const { journal } = context
   const options = { maxBatch: 4, maxChunk: 4, stepTimeoutMs: 1000, fairness: exactFairness, maxSessions: 10, maxLogBytes: 1000 }
-  return { clock, engine, outlet, host: new StageHost(context, engine, outlet, options) }
+  return { clock, engine, outlet, journal, host: new StageHost(context, engine, outlet, options) }
 }
 
 const createOpen = (request: string, attempt = 1, deadlineMs = 0): OpenFrame => ({
@@ -104,11 +105,14 @@
   assert.notEqual(outlet.frames.at(-1)?.status, undefined)
 })
 
-test('layers that the engine does not hold are refused before anything runs', async () => {
-  const { outlet, host } = createHost({ model: 'm', firstLayer: 4, lastLayer: 7 })
+test('layers that the engine does not hold are refused before anything runs, and the time line says why', async () => {
+  const { outlet, journal, host } = createHost({ model: 'm', firstLayer: 4, lastLayer: 7 })
   host.handleFrame('c', { open: createOpen('r') })
   await settle()
   assert.match(outlet.frames.at(-1)?.refused?.message ?? '', /does not hold layers 0-1/)
+  const event = journal.list().at(-1)
+  assert.deepEqual([event?.name, event?.request, event?.data?.['kind']], ['stage-refused', 'r', ErrorKind.noCapacity])
+  assert.match(event?.detail ?? '', /does not hold layers 0-1/)
 })
 
 test('a request whose entry is silent ends at its deadline', async () => {
