--- a/packages/stand-ins/src/emulator/emulated-platform.ts
+++ b/packages/stand-ins/src/emulator/emulated-platform.ts
@@ -21,7 +21,8 @@
 const metricsPort = 17_104
 const endpointPort = 17_200
 const pollMs = 50
-const readyTimeoutMs = 20_000
+/** Longest start of all processes at once, in milliseconds: some seconds for each where processors are shared. */
+const readyTimeoutMs = 60_000
 
 /** Keys of the teams in the configuration. */
 export const emulatedKeys = { prairie: 'key-prairie', river: 'key-river' } as const
@@ -156,10 +157,11 @@
   /** Waits until every worker holds what the layout gives it and every entry is ready. */
   async waitUntilReady (): Promise<void> {
     for (const plan of this.plans) {
-      if (plan.role === 'entry') await waitForUrl(`http://${plan.host}:${readinessPort}/v1/readyz`)
+      if (plan.role === 'entry') await waitForUrl(`http://${plan.host}:${readinessPort}/v1/readyz`, readyTimeoutMs)
     }
     const endMs = Date.now() + readyTimeoutMs
-    while (this.workers.some((worker) => worker.layers === null) && Date.now() < endMs) {
+    while (this.workers.some((worker) => worker.layers === null)) {
+      if (Date.now() >= endMs) throw new Error(`some workers hold no layers after ${readyTimeoutMs} ms; logs are in ${this.processes.folder}`)
       await wait(pollMs)
     }
   }
