--- a/scripts/run-mutants.js
+++ b/scripts/run-mutants.js
@@ -7,6 +7,13 @@
 import { resolve } from 'node:path'
 
 const mutants = [
+  {
+    mechanism: 'an endpoint that leaves gets no new calls',
+    file: 'clementineloft/dist/lib/forwarding/call-directory.js',
+    from: 'if (endpoint.isLeaving)',
+    to: 'if (false)',
+    test: 'clementineloft/dist/test/call-directory_test.js'
+  },
   {
     mechanism: 'an older layout changes nothing',
     file: 'routing/dist/lib/layers/layer-target.js',
