Give the watch over an engine and the memory of ended attempts modules of their own

Cause: StageHost (353 lines) also kept tombstones with their timers and checked an engine that was down. Ruled out: a change of behaviour (same times, same events, same kinds of fault). Before: 353 lines, both tested only through the host.

--- a/packages/routing/src/lib/stage-host.ts
+++ b/packages/routing/src/lib/stage-host.ts
@@ -5,9 +5,11 @@
 import type { Clock, Journal, Metrics, Timer } from '@clementineloft/kernel'
 import { Admission } from './admission.js'
 import type { FreeFactor } from './admission.js'
+import { AttemptTombstones } from './attempt-tombstones.js'
 import type { LoadedLayers } from './engine-orders.js'
 import { EngineExecutor, isEngineCrash } from './engine-executor.js'
 import type { ExecutorOptions } from './engine-executor.js'
+import { EngineWatch } from './engine-watch.js'
 import type { TeamWeights } from './fair-queue.js'
 import { getFrameRequest } from './frames.js'
 import type { Frame, Hop, OpenFrame, StepFrame, Token } from './frames.js'
@@ -15,12 +17,6 @@
 import { StageSession, StepVerdict } from './stage-session.js'
 import type { Delivery, StageOutput } from './stage-session.js'
 
-const tombstoneMs = 120_000
-const engineCheckMs = 500
-
-/** Kinds of errors after which an engine must show that it answers. */
-const engineFaults: ReadonlySet<ErrorKind> = new Set([ErrorKind.endpointFailed, ErrorKind.deadline])
-
 /** Sends frames away from a sidecar. */
 export abstract class StageOutlet {
   /** Sends a frame to the entry behind a connection; does nothing if the connection is gone. */
@@ -82,11 +78,11 @@
 /** Serves one endpoint's share of many pipelines. */
 export class StageHost {
   private readonly sessions = new Map<string, HostedSession>()
-  private readonly tombstones = new Map<string, { attempt: number, timer: Timer }>()
+  private readonly tombstones: AttemptTombstones
+  private readonly engineWatch: EngineWatch
   private readonly executor: EngineExecutor
   private readonly admission: Admission
   private isLeaving = false
-  private isEngineDown = false
   private crashReport = Promise.resolve()
 
   constructor (
@@ -95,6 +91,8 @@
     private readonly outlet: StageOutlet,
     private readonly options: StageHostOptions
   ) {
+    this.tombstones = new AttemptTombstones(context.clock)
+    this.engineWatch = new EngineWatch(context.endpoint, engine, context.clock, context.journal)
     this.admission = new Admission(() => Math.min(options.maxSessions, context.getPlaces()), context.getFreeFactor)
     this.executor = new EngineExecutor(engine, context.clock, options, context.getWeight, (fingerprints) => {
       this.crashReport = this.outlet.reportCrash(fingerprints)
@@ -149,7 +147,7 @@
     }
     const hosted = this.sessions.get(getFrameRequest(frame))
     if (frame.close != null) {
-      this.addTombstone(frame.close.request, frame.close.attempt)
+      this.tombstones.add(frame.close.request, frame.close.attempt)
       if (hosted !== undefined && frame.close.attempt >= hosted.session.getAttempt()) this.closeSession(hosted)
       return
     }
@@ -163,7 +161,7 @@
   handleConnectionLost (connection: string): void {
     for (const hosted of [...this.sessions.values()]) {
       if (hosted.connection !== connection) continue
-      this.addTombstone(hosted.session.request, hosted.session.getAttempt())
+      this.tombstones.add(hosted.session.request, hosted.session.getAttempt())
       this.closeSession(hosted)
     }
   }
@@ -222,15 +220,14 @@
   private findRefusal (open: OpenFrame): { kind: ErrorKind, message: string } | undefined {
     const { endpoint } = this.context
     if (this.isLeaving) return { kind: ErrorKind.leaving, message: `endpoint "${endpoint}" is shutting down` }
-    const tombstone = this.tombstones.get(open.request)
-    const newest = Math.max(tombstone?.attempt ?? 0, this.sessions.get(open.request)?.session.getAttempt() ?? 0)
+    const newest = Math.max(this.tombstones.getNewest(open.request), this.sessions.get(open.request)?.session.getAttempt() ?? 0)
     if (open.attempt <= newest) {
       return { kind: ErrorKind.superseded, message: `attempt ${open.attempt} was replaced by ${newest} or ended` }
     }
     if (this.context.isQuarantined(open.fingerprint)) {
       return { kind: ErrorKind.quarantined, message: 'the same request crashed several endpoints before' }
     }
-    if (this.isEngineDown) return { kind: ErrorKind.noCapacity, message: `the engine of endpoint "${endpoint}" is down` }
+    if (this.engineWatch.isDown()) return { kind: ErrorKind.noCapacity, message: `the engine of endpoint "${endpoint}" is down` }
     if (!this.context.hasLayers(open)) {
       return { kind: ErrorKind.noCapacity, message: `endpoint "${endpoint}" does not hold layers ${open.firstLayer}-${open.lastLayer} of model "${open.model}"` }
     }
@@ -290,22 +287,10 @@
   private reportEngineError (hosted: HostedSession, error: unknown): void {
     const isUnreached = getErrorKind(error) === ErrorKind.endpointFailed && !isEngineCrash(error)
     const kind = isUnreached ? ErrorKind.noCapacity : getErrorKind(error)
-    if (engineFaults.has(getErrorKind(error))) void this.waitForEngine()
+    this.engineWatch.noteError(error)
     this.sendFailed(hosted, kind, getErrorMessage(error), this.context.endpoint)
   }
 
-  /** Refuses new requests until the engine answers again. */
-  private async waitForEngine (): Promise<void> {
-    if (this.isEngineDown) return
-    this.isEngineDown = true
-    this.context.journal.record({ name: 'engine-down', endpoint: this.context.endpoint })
-    while (this.isEngineDown) {
-      await this.context.clock.wait(engineCheckMs)
-      this.isEngineDown = await this.engine.check().then(() => false, () => true)
-    }
-    this.context.journal.record({ name: 'engine-up', endpoint: this.context.endpoint })
-  }
-
   private deliver (hosted: HostedSession, delivery: Delivery | undefined): void {
     if (delivery === undefined) return
     const { request, stage } = hosted.session
@@ -340,11 +325,4 @@
     if (this.sessions.get(hosted.session.request) === hosted) this.sessions.delete(hosted.session.request)
     this.engine.endSession(hosted.engineSession)
   }
-
-  private addTombstone (request: string, attempt: number): void {
-    const older = this.tombstones.get(request)
-    older?.timer.cancel()
-    const timer = this.context.clock.schedule(tombstoneMs, () => { this.tombstones.delete(request) })
-    this.tombstones.set(request, { attempt: Math.max(attempt, older?.attempt ?? 0), timer })
-  }
 }
--- /dev/null
+++ b/packages/routing/src/test/attempt-tombstones_test.ts
@@ -0,0 +1,19 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { ManualClock } from '@clementineloft/kernel'
+import { AttemptTombstones } from '../lib/attempt-tombstones.js'
+
+test('the newest ended attempt is remembered for two minutes after the last end, whatever the order of ends', () => {
+  const clock = new ManualClock()
+  const tombstones = new AttemptTombstones(clock)
+  assert.equal(tombstones.getNewest('r'), 0)
+  tombstones.add('r', 3)
+  tombstones.add('r', 2)
+  assert.equal(tombstones.getNewest('r'), 3)
+  clock.advance(100_000)
+  tombstones.add('r', 4)
+  clock.advance(100_000)
+  assert.equal(tombstones.getNewest('r'), 4)
+  clock.advance(20_000)
+  assert.equal(tombstones.getNewest('r'), 0)
+})
