Cut poor groups of a layout anew after losses for good

Logs: the layout goes from 8 to 5 copies with 47 of 52 endpoints and is never written again; refusals name few endpoints, all of them neighbours that had widened over lost ones and have 12,000 tokens of room left. The sum of group rates falls to 170 to 220 requests a second with 5 of 52 lost, with some 180 arriving. Ruled out: the bound of the layers held (computeFlowBound 460 to 700), the store, the lease (held, taken again at 38.9 s). Now, when endpoints have not changed for 2.5 s, groups that serve under 0.7 of what their members could are cut anew together with spares and at most one sound group, if the layout then serves 0.15 more and two groups keep their layers.

--- /dev/null
+++ b/packages/routing/src/lib/layers/count-copies.ts
@@ -0,0 +1,13 @@
+/**
+ * Copies of each layer in a layout.
+ */
+import type { LayerSpan } from '../calls/call-endpoint.js'
+
+/** @returns how many spans hold each layer */
+export const countCopies = (spans: readonly LayerSpan[], layers: number): number[] => {
+  const copies = new Array<number>(layers).fill(0)
+  for (const { from, to } of spans) {
+    for (let layer = from; layer < to; layer++) copies[layer] = (copies[layer] as number) + 1
+  }
+  return copies
+}
--- a/packages/routing/src/lib/layers/group-rate.ts
+++ b/packages/routing/src/lib/layers/group-rate.ts
@@ -4,7 +4,10 @@
  * Answers the load pattern of long prompts on mixed accelerators, where memory for requests fills before the processors
  * do: a group is worth what its memory holds at once, divided by the time that a request stays.
  */
+import type { LayerSpan } from '../calls/call-endpoint.js'
 import type { AcceleratorType, EngineTerms } from '../calls/call-terms.js'
+import { countCopies } from './count-copies.js'
+import { computeRoom } from './path-costs.js'
 
 /** An endpoint that may hold layers. */
 export interface LayoutMember {
@@ -13,6 +16,11 @@
   type: AcceleratorType
 }
 
+/** Layers that an endpoint holds. */
+export interface HeldLayers extends LayerSpan {
+  member: LayoutMember
+}
+
 /** A way to share the layers of a model out over a group. */
 export interface GroupPlan {
   /** Layers of each member, in order of the members. */
@@ -85,6 +93,18 @@
   return Math.min(byMemory, byWork) * millisecondsPerSecond
 }
 
+/**
+ * @param parts - endpoints of one group with what they hold
+ * @returns requests a second that they serve together; 0 if they lack a layer
+ */
+export const rateHeldLayers = (parts: readonly HeldLayers[], engine: EngineTerms): number => {
+  if (countCopies(parts, engine.layers).includes(0)) return 0
+  const ordered = [...parts].sort((a, b) => a.from - b.from)
+  const rooms = ordered.map((part) => computeRoom(part, part.member.type, engine) / (part.to - part.from))
+  const shares = ordered.map(({ from, to }) => to - from)
+  return computeRate(ordered.map(({ member }) => member), shares, engine, Math.min(...rooms))
+}
+
 /** @returns the best way to share the model out over the members, or `undefined` if they cannot hold it */
 export const planGroup = (members: readonly LayoutMember[], engine: EngineTerms): GroupPlan | undefined => {
   const roomTokens = findRoom(members, engine)
--- a/packages/routing/src/lib/layers/layer-layout.ts
+++ b/packages/routing/src/lib/layers/layer-layout.ts
@@ -8,6 +8,7 @@
  */
 import type { LayerSpan } from '../calls/call-endpoint.js'
 import type { EngineTerms } from '../calls/call-terms.js'
+import { countCopies } from './count-copies.js'
 import { computeCapacity, planGroup } from './group-rate.js'
 import type { GroupPlan, LayoutMember } from './group-rate.js'
 
@@ -81,15 +82,6 @@
   return assignments
 }
 
-/** @returns how many assignments hold each layer */
-export const countCopies = (assignments: readonly LayerSpan[], layers: number): number[] => {
-  const copies = new Array<number>(layers).fill(0)
-  for (const { from, to } of assignments) {
-    for (let layer = from; layer < to; layer++) copies[layer] = (copies[layer] as number) + 1
-  }
-  return copies
-}
-
 /** Finds the span of a length whose layers have the fewest copies. */
 const findScarcest = (copies: readonly number[], length: number): LayerSpan => {
   let best = { from: 0, to: length }
--- a/packages/routing/src/lib/layers/layout-policy.ts
+++ b/packages/routing/src/lib/layers/layout-policy.ts
@@ -3,18 +3,21 @@
  *
  * Answers the load pattern of endpoints that crash and come back within seconds: a short absence changes nothing, since
  * the endpoint loads its own layers again when it returns; a long one, an endpoint that leaves, or one that is new leads
- * to a repair.
+ * to a repair at once, and to new groups when no replacement has come.
  */
 import type { CallEndpoint } from '../calls/call-endpoint.js'
 import type { EngineTerms } from '../calls/call-terms.js'
 import type { LayoutMember } from './group-rate.js'
 import type { LayerAssignment } from './layer-layout.js'
 import { coverAbsent, planLayout, repairLayout } from './layer-layout.js'
+import { regroupLayout } from './layout-regroup.js'
 
 /** Time without new endpoints after which the first layout is planned, in milliseconds: two heartbeats. */
 const settleMs = 2500
 /** Absence after which an endpoint counts as gone, in milliseconds: a crash and a new start take less. */
 const absenceMs = 7000
+/** Time without a change after which groups are formed anew, in milliseconds: a replacement is listed within it. */
+const regroupMs = 2500
 
 /** Watches the endpoints of one service. */
 export class LayoutPolicy {
@@ -24,6 +27,11 @@
   private readonly known = new Map<string, LayoutMember>()
   private newestMs = -Infinity
   private observedMs = -Infinity
+  /** When an endpoint last came, left or stopped to answer. */
+  private changedMs = -Infinity
+  private present = new Set<string>()
+  /** Whether endpoints have changed since groups were last weighed. */
+  private isRegroupDue = true
 
   /**
    * Notes which endpoints live.
@@ -48,6 +56,7 @@
       this.members.set(endpoint.address, { address: endpoint.address, dataCentre: endpoint.dataCentre, type })
       this.lastSeenMs.set(endpoint.address, nowMs)
     }
+    this.noteChange(nowMs)
   }
 
   /**
@@ -70,7 +79,31 @@
     const hasNew = members.some((member) => !assigned.has(member.address))
     const repaired = hasLost || hasNew ? repairLayout(present, members, this.known, engine) : present
     const covered = coverAbsent(repaired, this.listAbsent(), this.known, engine)
-    return covered === present ? undefined : [...covered]
+    if (covered !== present) return [...covered]
+    return this.regroup(present, members, engine, nowMs)
+  }
+
+  /** Remembers when the endpoints that answer were others than at the look before. */
+  private noteChange (nowMs: number): void {
+    const present = new Set([...this.lastSeenMs].flatMap(([address, seenMs]) => seenMs === nowMs ? [address] : []))
+    const isSame = present.size === this.present.size && [...present].every((address) => this.present.has(address))
+    if (isSame) return
+    this.present = present
+    this.changedMs = nowMs
+    this.isRegroupDue = true
+  }
+
+  /** Forms groups anew once after each change, when all members have answered for a while. */
+  private regroup (
+    present: readonly LayerAssignment[],
+    members: readonly LayoutMember[],
+    engine: EngineTerms,
+    nowMs: number
+  ): LayerAssignment[] | undefined {
+    const isSettled = nowMs - this.changedMs >= regroupMs && this.listAbsent().size === 0
+    if (!this.isRegroupDue || !isSettled) return undefined
+    this.isRegroupDue = false
+    return regroupLayout(present, members, engine)
   }
 
   /** @returns addresses of endpoints that were not seen at the last look */
--- /dev/null
+++ b/packages/routing/src/test/layout-regroup_test.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { countCopies, coverAbsent, planLayout, rateHeldLayers, regroupLayout, repairLayout, spareWave } from '@clementineloft/routing'
+import type { LayerAssignment, LayoutMember } from '@clementineloft/routing'
+import { createIndex, createMembers, engine } from './fleet.js'
+
+const members = createMembers()
+const layout = planLayout(members, engine)
+
+const rateLayout = (assignments: readonly LayerAssignment[], live: readonly LayoutMember[]): number => {
+  const index = createIndex(live)
+  const waves = [...new Set(assignments.map((assignment) => assignment.wave))].filter((wave) => wave !== spareWave)
+  const rates = waves.map((wave) => rateHeldLayers(
+    assignments.flatMap((assignment) => assignment.wave === wave ? [{ ...assignment, member: index.get(assignment.address) as LayoutMember }] : []), engine))
+  return rates.reduce((sum, rate) => sum + rate, 0)
+}
+
+const lose = (addresses: readonly string[]): { live: LayoutMember[], repaired: LayerAssignment[] } => {
+  const live = members.filter((member) => !addresses.includes(member.address))
+  const index = createIndex(members)
+  return { live, repaired: [...coverAbsent(repairLayout(layout, live, index, engine), new Set(), index, engine)] }
+}
+
+const lost = ['c-medium-0', 'c-small-1', 'a-small-0']
+
+test('after losses for good the poor groups are cut anew, serve clearly more, and sound groups keep their layers', () => {
+  const { live, repaired } = lose(lost)
+  const regrouped = regroupLayout(repaired, live, engine) as LayerAssignment[]
+  assert.ok(regrouped !== undefined)
+  assert.ok(rateLayout(regrouped, live) > rateLayout(repaired, live) * 1.15)
+  const unchanged = regrouped.filter((assignment) => repaired.some((before) =>
+    before.address === assignment.address && before.from === assignment.from && before.to === assignment.to))
+  assert.ok(Math.min(...countCopies(unchanged, engine.layers)) >= 2, 'no layer is down to one copy while others load')
+})
+
+test('a layout whose endpoints all live is left as it is, and so is one that was just cut anew', () => {
+  assert.equal(regroupLayout(layout, members, engine), undefined)
+  const { live, repaired } = lose(lost)
+  const regrouped = regroupLayout(repaired, live, engine) as LayerAssignment[]
+  assert.equal(regroupLayout(regrouped, live, engine), undefined)
+})
+
+test('groups that serve are not broken up when too few are left to serve meanwhile', () => {
+  const few = members.filter((member) => member.dataCentre === 'c')
+  const small = planLayout(few, engine)
+  const live = few.filter((member) => member.address !== 'c-large-0')
+  assert.equal(regroupLayout(repairLayout(small, live, createIndex(few), engine), live, engine), undefined)
+})
