Let neighbours give up what they widened over an endpoint that is back, and cut anew in steps

Cause: a group that widened over an endpoint for a few seconds kept the wider spans for good, and with several poor groups no set of groups left two others to serve, so that nothing was cut anew (test fleet: three lost, 11 of 131 requests a second). Groups give overlapping layers up without a load once all members answer; poor groups are also tried one at a time, and the next step waits for the loads of the one before.

--- a/packages/routing/src/lib/layers/group-rate.ts
+++ b/packages/routing/src/lib/layers/group-rate.ts
@@ -97,7 +97,7 @@
  * @param parts - endpoints of one group with what they hold
  * @returns requests a second that they serve together; 0 if they lack a layer
  */
-export const rateHeldLayers = (parts: readonly HeldLayers[], engine: EngineTerms): number => {
+export const computeHeldRate = (parts: readonly HeldLayers[], engine: EngineTerms): number => {
   if (countCopies(parts, engine.layers).includes(0)) return 0
   const ordered = [...parts].sort((a, b) => a.from - b.from)
   const rooms = ordered.map((part) => computeRoom(part, part.member.type, engine) / (part.to - part.from))
--- a/packages/routing/src/lib/layers/layout-policy.ts
+++ b/packages/routing/src/lib/layers/layout-policy.ts
@@ -30,7 +30,9 @@
   /** When an endpoint last came, left or stopped to answer. */
   private changedMs = -Infinity
   private present = new Set<string>()
-  /** Whether endpoints have changed since groups were last weighed. */
+  /** When the endpoints of new groups have loaded their layers at the latest. */
+  private loadedMs = -Infinity
+  /** Whether endpoints have changed since the groups were last found good. */
   private isRegroupDue = true
 
   /**
@@ -93,7 +95,7 @@
     this.isRegroupDue = true
   }
 
-  /** Forms groups anew once after each change, when all members have answered for a while. */
+  /** Forms groups anew after a change, when all members have answered for a while and the groups before have loaded. */
   private regroup (
     present: readonly LayerAssignment[],
     members: readonly LayoutMember[],
@@ -101,9 +103,11 @@
     nowMs: number
   ): LayerAssignment[] | undefined {
     const isSettled = nowMs - this.changedMs >= regroupMs && this.listAbsent().size === 0
-    if (!this.isRegroupDue || !isSettled) return undefined
-    this.isRegroupDue = false
-    return regroupLayout(present, members, engine)
+    if (!this.isRegroupDue || !isSettled || nowMs < this.loadedMs) return undefined
+    const regrouped = regroupLayout(present, members, engine)
+    if (regrouped === undefined) this.isRegroupDue = false
+    else this.loadedMs = nowMs + engine.loadMs
+    return regrouped
   }
 
   /** @returns addresses of endpoints that were not seen at the last look */
--- a/packages/routing/src/lib/layers/layout-regroup.ts
+++ b/packages/routing/src/lib/layers/layout-regroup.ts
@@ -3,46 +3,48 @@
  *
  * Answers the load pattern of several endpoints lost for good: neighbours that widen over them hold more layers than they
  * have room for requests beside, so that the fleet serves far less than its memory allows. Members of such groups and
- * endpoints outside every group form new groups; all others keep their layers and serve meanwhile.
+ * endpoints outside every group form new groups; all others keep their layers and serve meanwhile. Neighbours of an
+ * endpoint that has come back give up what they had widened over it.
  */
 import type { EngineTerms } from '../calls/call-terms.js'
-import { planGroup, rateHeldLayers } from './group-rate.js'
+import { planGroup, computeHeldRate } from './group-rate.js'
 import type { HeldLayers, LayoutMember } from './group-rate.js'
 import { planLayout, spareWave } from './layer-layout.js'
 import type { LayerAssignment } from './layer-layout.js'
 
 /** Least gain for which endpoints load again, as a part of what the layout serves: a group among six or seven. */
 const leastGain = 0.15
+/** Least gain for which members give layers up, as a part of what their group serves. */
+const leastNarrowingGain = 0.02
 /** A group below this part of what its members could serve is poor. */
 const poorShare = 0.7
 /** Groups that must keep their layers, so that the loss of one more endpoint leaves no gap while others load. */
 const fewestKept = 2
-/** Groups that are tried together with the poor ones, slowest first; each costs one plan of a few endpoints. */
+/** Groups that are tried alone, and together with the poor ones, slowest first; each costs one plan of a few endpoints. */
 const mostTried = 8
 
 interface RatedGroup {
   parts: HeldLayers[]
-  assignments: LayerAssignment[]
   /** Requests a second. */
   rate: number
 }
 
+const createGroup = (parts: HeldLayers[], engine: EngineTerms): RatedGroup => ({ parts, rate: computeHeldRate(parts, engine) })
+
 /** @returns the groups of a layout, fastest first */
 const listGroups = (assignments: readonly LayerAssignment[], index: ReadonlyMap<string, LayoutMember>, engine: EngineTerms): RatedGroup[] => {
-  const groups = new Map<number, RatedGroup>()
-  for (const assignment of assignments) {
-    const member = index.get(assignment.address)
-    if (member === undefined || assignment.wave === spareWave) continue
-    const group = groups.get(assignment.wave) ?? { parts: [], assignments: [], rate: 0 }
-    group.parts.push({ member, from: assignment.from, to: assignment.to })
-    group.assignments.push(assignment)
-    groups.set(assignment.wave, group)
+  const partsByWave = new Map<number, HeldLayers[]>()
+  for (const { address, wave, from, to } of assignments) {
+    const member = index.get(address)
+    if (member === undefined || wave === spareWave) continue
+    const parts = partsByWave.get(wave) ?? []
+    parts.push({ member, from, to })
+    partsByWave.set(wave, parts)
   }
-  for (const group of groups.values()) group.rate = rateHeldLayers(group.parts, engine)
-  return [...groups.values()].sort((a, b) => b.rate - a.rate)
+  return [...partsByWave.values()].map((parts) => createGroup(parts, engine)).sort((a, b) => b.rate - a.rate)
 }
 
-const sumRates = (groups: readonly RatedGroup[]): number => groups.reduce((sum, group) => sum + group.rate, 0)
+const addRates = (groups: readonly RatedGroup[]): number => groups.reduce((sum, group) => sum + group.rate, 0)
 
 const isPoor = (group: RatedGroup, engine: EngineTerms): boolean => {
   const members = group.parts.map((part) => part.member)
@@ -50,9 +52,36 @@
 }
 
 /** Numbers the groups by rate, so that the fastest load first. */
-const numberWaves = (groups: readonly RatedGroup[]): LayerAssignment[] =>
+const assignWaves = (groups: readonly RatedGroup[]): LayerAssignment[] =>
   [...groups].sort((a, b) => b.rate - a.rate)
-    .flatMap((group, wave) => group.assignments.map((assignment) => ({ ...assignment, wave })))
+    .flatMap((group, wave) => group.parts.map(({ member, from, to }) => ({ address: member.address, from, to, wave })))
+
+/**
+ * Lets the members of a group give up layers that others of the group hold too, once all of them are back. Nobody loads.
+ *
+ * @returns the group as it would be planned; the group itself if members would have to load for that
+ */
+const narrowGroup = (group: RatedGroup, engine: EngineTerms): RatedGroup => {
+  const parts = [...group.parts].sort((a, b) => a.from - b.from)
+  const plan = planGroup(parts.map((part) => part.member), engine)
+  if (plan === undefined || plan.rate < group.rate * (1 + leastNarrowingGain)) return group
+  let from = 0
+  const narrowed: HeldLayers[] = []
+  for (const [index, part] of parts.entries()) {
+    const to = from + (plan.shares[index] as number)
+    if (from < part.from || to > part.to || to === from) return group
+    narrowed.push({ member: part.member, from, to })
+    from = to
+  }
+  return createGroup(narrowed, engine)
+}
+
+/** @returns sets of groups to cut anew: the poor ones, these with one that is sound, or one of the poor alone */
+const listPools = (poor: readonly RatedGroup[], sound: readonly RatedGroup[]): RatedGroup[][] => {
+  const slowest = sound.slice(-mostTried).reverse()
+  const single = poor.slice(-mostTried).reverse()
+  return [[...poor], ...slowest.map((group) => [...poor, group]), ...single.map((group) => [group])]
+}
 
 /**
  * @param present - the layout in force
@@ -66,23 +95,24 @@
   engine: EngineTerms
 ): LayerAssignment[] | undefined => {
   const index = new Map(members.map((member) => [member.address, member]))
-  const groups = listGroups(present, index, engine)
-  const poor = new Set(groups.filter((group) => isPoor(group, engine)))
-  const sound = groups.filter((group) => !poor.has(group))
-  const tried = [undefined, ...sound.slice(-mostTried).reverse()]
-  let best: LayerAssignment[] | undefined
-  let bestRate = sumRates(groups) * (1 + leastGain)
-  for (const added of tried) {
-    const kept = sound.filter((group) => group !== added)
-    if (kept.length < fewestKept) break
-    const keptAddresses = new Set(kept.flatMap((group) => group.assignments.map((assignment) => assignment.address)))
-    const free = members.filter((member) => !keptAddresses.has(member.address))
-    const planned = planLayout(free, engine)
+  const before = listGroups(present, index, engine)
+  const groups = before.map((group) => narrowGroup(group, engine))
+  const poor = groups.filter((group) => isPoor(group, engine))
+  const sound = groups.filter((group) => !poor.includes(group))
+  const hasNarrowed = groups.some((group, place) => group !== before[place])
+  const spares = present.filter((assignment) => assignment.wave === spareWave && index.has(assignment.address))
+  let best = hasNarrowed ? [...assignWaves(groups), ...spares] : undefined
+  let bestRate = addRates(groups) * (1 + leastGain)
+  for (const pool of listPools(poor, sound)) {
+    const kept = groups.filter((group) => !pool.includes(group))
+    if (kept.filter((group) => group.rate > 0).length < fewestKept) continue
+    const keptAddresses = new Set(kept.flatMap((group) => group.parts.map((part) => part.member.address)))
+    const planned = planLayout(members.filter((member) => !keptAddresses.has(member.address)), engine)
     const formed = listGroups(planned, index, engine)
-    const rate = sumRates(kept) + sumRates(formed)
+    const rate = addRates(kept) + addRates(formed)
     if (rate <= bestRate) continue
     bestRate = rate
-    best = [...numberWaves([...kept, ...formed]), ...planned.filter((assignment) => assignment.wave === spareWave)]
+    best = [...assignWaves([...kept, ...formed]), ...planned.filter((assignment) => assignment.wave === spareWave)]
   }
   return best
 }
--- a/packages/routing/src/test/layout-policy_test.ts
+++ b/packages/routing/src/test/layout-policy_test.ts
@@ -58,3 +58,35 @@
   const group = next.filter((assignment) => assignment.wave === gone.wave)
   assert.ok(Math.min(...countCopies(group, engine.layers)) >= 1, 'the neighbours widen over the endpoint that leaves')
 })
+
+test('groups are formed anew when endpoints are lost for good and no replacement has come within two heartbeats', () => {
+  const policy = new LayoutPolicy()
+  let layout = settle(policy)
+  const gone = new Set(['c-medium-0', 'c-small-1', 'a-small-0'])
+  const left = endpoints.map((endpoint) => gone.has(endpoint.address) ? { ...endpoint, isLeaving: true } : endpoint)
+  const written: number[] = []
+  for (let nowMs = 6000; nowMs <= 12_000; nowMs += 500) {
+    policy.observe(left, none, engine, nowMs)
+    const next = policy.decide(layout, engine, nowMs)
+    if (next === undefined) continue
+    layout = next
+    written.push(nowMs)
+  }
+  assert.deepEqual(written, [6000, 8500], 'repaired at once, cut anew when nothing has changed for 2.5 s')
+})
+
+test('groups stay as they are while an endpoint does not answer', () => {
+  const policy = new LayoutPolicy()
+  let layout = settle(policy)
+  const silent = new Set([layout.find((assignment) => assignment.address.startsWith('c-medium'))?.address as string])
+  const written: number[] = []
+  policy.observe(endpoints, none, engine, 5500)
+  for (let nowMs = 6000; nowMs <= 12_000; nowMs += 500) {
+    policy.observe(endpoints, silent, engine, nowMs)
+    const next = policy.decide(layout, engine, nowMs)
+    if (next === undefined) continue
+    layout = next
+    written.push(nowMs)
+  }
+  assert.deepEqual(written, [6000])
+})
--- a/packages/routing/src/test/layout-regroup_test.ts
+++ b/packages/routing/src/test/layout-regroup_test.ts
@@ -1,16 +1,16 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { countCopies, coverAbsent, planLayout, rateHeldLayers, regroupLayout, repairLayout, spareWave } from '@clementineloft/routing'
+import { countCopies, coverAbsent, planLayout, computeHeldRate, regroupLayout, repairLayout, spareWave } from '@clementineloft/routing'
 import type { LayerAssignment, LayoutMember } from '@clementineloft/routing'
 import { createIndex, createMembers, engine } from './fleet.js'
 
 const members = createMembers()
 const layout = planLayout(members, engine)
 
-const rateLayout = (assignments: readonly LayerAssignment[], live: readonly LayoutMember[]): number => {
+const computeLayoutRate = (assignments: readonly LayerAssignment[], live: readonly LayoutMember[]): number => {
   const index = createIndex(live)
   const waves = [...new Set(assignments.map((assignment) => assignment.wave))].filter((wave) => wave !== spareWave)
-  const rates = waves.map((wave) => rateHeldLayers(
+  const rates = waves.map((wave) => computeHeldRate(
     assignments.flatMap((assignment) => assignment.wave === wave ? [{ ...assignment, member: index.get(assignment.address) as LayoutMember }] : []), engine))
   return rates.reduce((sum, rate) => sum + rate, 0)
 }
@@ -27,7 +27,7 @@
   const { live, repaired } = lose(lost)
   const regrouped = regroupLayout(repaired, live, engine) as LayerAssignment[]
   assert.ok(regrouped !== undefined)
-  assert.ok(rateLayout(regrouped, live) > rateLayout(repaired, live) * 1.15)
+  assert.ok(computeLayoutRate(regrouped, live) > computeLayoutRate(repaired, live) * 1.15)
   const unchanged = regrouped.filter((assignment) => repaired.some((before) =>
     before.address === assignment.address && before.from === assignment.from && before.to === assignment.to))
   assert.ok(Math.min(...countCopies(unchanged, engine.layers)) >= 2, 'no layer is down to one copy while others load')
@@ -46,3 +46,13 @@
   const live = few.filter((member) => member.address !== 'c-large-0')
   assert.equal(regroupLayout(repairLayout(small, live, createIndex(few), engine), live, engine), undefined)
 })
+
+test('neighbours that widened over an endpoint give its layers up when it is back, without a load', () => {
+  const index = createIndex(members)
+  const absent = layout.find((assignment) => assignment.address.startsWith('c-medium')) as LayerAssignment
+  const widened = coverAbsent(layout, new Set([absent.address]), index, engine)
+  assert.notDeepEqual(widened, layout)
+  const narrowed = regroupLayout(widened, members, engine) as LayerAssignment[]
+  const listSpans = (assignments: readonly LayerAssignment[]): string[] => assignments.map(({ address, from, to }) => `${address} ${from}-${to}`).sort()
+  assert.deepEqual(listSpans(narrowed), listSpans(layout))
+})
