--- a/packages/routing/src/lib/layers/layout-regroup.ts
+++ b/packages/routing/src/lib/layers/layout-regroup.ts
@@ -14,6 +14,8 @@
 
 /** Least gain for which endpoints load again, as a part of what the layout serves: a group among six or seven. */
 const leastGain = 0.15
+/** Part of what endpoints serve that their loads cost: some three seconds in half a minute, after which others are lost. */
+const loadCost = 0.1
 /** Least gain for which members give layers up, as a part of what their group serves. */
 const leastNarrowingGain = 0.02
 /** A group below this part of what its members could serve is poor. */
@@ -76,6 +78,16 @@
   return createGroup(narrowed, engine)
 }
 
+/** @returns the part of all endpoints that must load layers for a new layout */
+const computeLoadedShare = (next: readonly LayerAssignment[], present: readonly LayerAssignment[], endpoints: number): number => {
+  const held = new Map(present.map((assignment) => [assignment.address, assignment]))
+  const loading = next.filter(({ address, from, to }) => {
+    const before = held.get(address)
+    return before === undefined || from < before.from || to > before.to
+  })
+  return loading.length / endpoints
+}
+
 /** @returns sets of groups to cut anew: the poor ones, these with one that is sound, or one of the poor alone */
 const listPools = (poor: readonly RatedGroup[], sound: readonly RatedGroup[]): RatedGroup[][] => {
   const slowest = sound.slice(-mostTried).reverse()
@@ -102,16 +114,16 @@
   const hasNarrowed = groups.some((group, place) => group !== before[place])
   const spares = present.filter((assignment) => assignment.wave === spareWave && index.has(assignment.address))
   let best = hasNarrowed ? [...assignWaves(groups), ...spares] : undefined
-  let bestRate = addRates(groups) * (1 + leastGain)
+  let bestValue = addRates(groups) * (1 + leastGain)
   for (const pool of listPools(poor, sound)) {
     const kept = groups.filter((group) => !pool.includes(group))
     if (kept.filter((group) => group.rate > 0).length < fewestKept) continue
     const keptAddresses = new Set(kept.flatMap((group) => group.parts.map((part) => part.member.address)))
     const planned = planLayout(members.filter((member) => !keptAddresses.has(member.address)), engine)
     const formed = listGroups(planned, index, engine)
-    const rate = addRates(kept) + addRates(formed)
-    if (rate <= bestRate) continue
-    bestRate = rate
+    const value = addRates(kept) + addRates(formed) - addRates(groups) * loadCost * computeLoadedShare(planned, present, members.length)
+    if (value <= bestValue) continue
+    bestValue = value
     best = [...assignWaves([...kept, ...formed]), ...planned.filter((assignment) => assignment.wave === spareWave)]
   }
   return best
--- a/packages/routing/src/test/layout-regroup_test.ts
+++ b/packages/routing/src/test/layout-regroup_test.ts
@@ -47,12 +47,15 @@
   assert.equal(regroupLayout(repairLayout(small, live, createIndex(few), engine), live, engine), undefined)
 })
 
+const listSpans = (assignments: readonly LayerAssignment[]): string[] =>
+  assignments.map(({ address, from, to }) => `${address} ${from}-${to}`).sort()
+
 test('neighbours that widened over an endpoint give its layers up when it is back, without a load', () => {
   const index = createIndex(members)
-  const absent = layout.find((assignment) => assignment.address.startsWith('c-medium')) as LayerAssignment
-  const widened = coverAbsent(layout, new Set([absent.address]), index, engine)
-  assert.notDeepEqual(widened, layout)
-  const narrowed = regroupLayout(widened, members, engine) as LayerAssignment[]
-  const listSpans = (assignments: readonly LayerAssignment[]): string[] => assignments.map(({ address, from, to }) => `${address} ${from}-${to}`).sort()
-  assert.deepEqual(listSpans(narrowed), listSpans(layout))
+  for (const { address } of layout) {
+    const widened = coverAbsent(layout, new Set([address]), index, engine)
+    if (widened === layout) continue
+    const narrowed = regroupLayout(widened, members, engine)
+    assert.deepEqual(narrowed && listSpans(narrowed), listSpans(layout), address)
+  }
 })
--- a/scripts/run-mutants.js
+++ b/scripts/run-mutants.js
@@ -7,6 +7,34 @@
 import { resolve } from 'node:path'
 
 const mutants = [
+  {
+    mechanism: 'poor groups are cut anew once endpoints have settled',
+    file: 'routing/dist/lib/layers/layout-policy.js',
+    from: 'nowMs - this.changedMs >= regroupMs',
+    to: 'true',
+    test: 'routing/dist/test/layout-policy_test.js'
+  },
+  {
+    mechanism: 'groups keep their layers while others load',
+    file: 'routing/dist/lib/layers/layout-regroup.js',
+    from: 'const fewestKept = 2;',
+    to: 'const fewestKept = 0;',
+    test: 'routing/dist/test/layout-regroup_test.js'
+  },
+  {
+    mechanism: 'what was widened over an endpoint is given up',
+    file: 'routing/dist/lib/layers/layout-regroup.js',
+    from: 'from < part.from || to > part.to || to === from',
+    to: 'true',
+    test: 'routing/dist/test/layout-regroup_test.js'
+  },
+  {
+    mechanism: 'other entries are expected to send on the mean',
+    file: 'routing/dist/lib/layers/path-costs.js',
+    from: 'Math.max(others.tokenLayers, work.sent.tokenLayers * (this.entries - 1))',
+    to: 'work.sent.tokenLayers * (this.entries - 1)',
+    test: 'stand-ins/dist/test/replay_test.js'
+  },
   {
     mechanism: 'an endpoint that leaves gets no new calls',
     file: 'clementineloft/dist/lib/forwarding/call-directory.js',
