--- a/scripts/run-mutants.js
+++ b/scripts/run-mutants.js
@@ -381,8 +381,8 @@
   {
     mechanism: 'own requests counted once for every entry',
     file: 'routing/dist/lib/layers/path-costs.js',
-    from: '(work?.sentTokenLayers ?? 0) * this.entries',
-    to: '(work?.sentTokenLayers ?? 0)',
+    from: 'Math.max(others.tokenLayers, work.sent.tokenLayers * (this.entries - 1))',
+    to: 'others.tokenLayers',
     test: 'routing/dist/test/layer-path_test.js'
   },
   {
