Give the lease of the layout up at a stop, and form new groups also beside endpoints that hold nothing

Cause: a holder that was told to stop left its lease to run out: 2.4 s and the next look of another sidecar, up to 1 s, in which nothing was repaired. It is given up now within a second of the stop, by a conditional write; the next in line takes it at its next look. Without an answer of the store it runs out as before. An endpoint too small for any layer made every decision look like a repair, so that groups were never cut anew (test).

--- a/packages/clementineloft/src/lib/forwarding/layer-sidecar.ts
+++ b/packages/clementineloft/src/lib/forwarding/layer-sidecar.ts
@@ -52,13 +52,13 @@
   start (): void {
     this.parts.listenForMetrics()
     void this.followEndpoint()
-    void this.keeper.run()
+    this.keeper.start()
     this.parts.journal.record({ name: 'started', data: { role: 'sidecar', incarnation: this.parts.incarnation } })
   }
 
-  stop (): void {
+  async stop (): Promise<void> {
     this.isStopped = true
-    this.keeper.stop()
+    await this.keeper.stop()
     this.layouts.stop()
     this.reports.close()
     this.parts.journal.record({ name: 'stopped' })
@@ -106,5 +106,5 @@
 export const runLayerSidecar = async (settings: LayerSidecarSettings, ports: PlatformPorts): Promise<() => Promise<void>> => {
   const sidecar = new LayerSidecar(settings, ports)
   sidecar.start()
-  return async () => { sidecar.stop() }
+  return async () => { await sidecar.stop() }
 }
--- a/packages/clementineloft/src/lib/forwarding/layout-keeper.ts
+++ b/packages/clementineloft/src/lib/forwarding/layout-keeper.ts
@@ -21,6 +21,8 @@
 const nextInLine = 5
 /** Time between two decisions of the holder, in milliseconds. */
 const decisionMs = 400
+/** Longest time for which a stop waits until the lease is given up, in milliseconds: one decision and one answer of a slow store. */
+const stopMs = 1000
 
 /** Takes part in the lease of one service. */
 export class LayoutKeeper {
@@ -34,6 +36,7 @@
   /** The layout that this process wrote last; the watch brings it later. */
   private written: KindObject | undefined
   private isStopped = false
+  private ended: Promise<void> = Promise.resolve()
 
   constructor (
     private readonly parts: ProcessParts,
@@ -45,8 +48,20 @@
     this.lease = new TimedLease(store, leaseKind, service, incarnation, leaseTermMs, clock)
   }
 
-  /** Competes for the lease and acts while it is held, until stopped. */
-  async run (): Promise<void> {
+  /** Begins to compete for the lease, and acts while it is held. */
+  start (): void {
+    this.ended = this.run()
+  }
+
+  /** Gives up the lease, so that another sidecar goes on, and ends; waits a short time for the store at most. */
+  async stop (): Promise<void> {
+    this.isStopped = true
+    const wasHeld = this.lease.isHeld()
+    this.end()
+    if (wasHeld) await Promise.race([this.ended, this.parts.clock.wait(stopMs)])
+  }
+
+  private async run (): Promise<void> {
     const { clock, random, journal } = this.parts
     await clock.wait(random.next() * renewalMs)
     let wasHeld = false
@@ -54,13 +69,25 @@
       const isHeld = await this.advanceLease()
       if (isHeld !== wasHeld) {
         journal.record({ name: isHeld ? 'lease-taken' : 'lease-lost', data: { lease: this.service } })
-        if (isHeld) this.begin()
+        if (isHeld && !this.isStopped) this.begin()
         else this.end()
       }
       wasHeld = isHeld
       if (isHeld) await this.decideUntilRenewal()
       else await clock.wait(this.getLookInterval() * (0.75 + random.next() / 2))
     }
+    await this.releaseLease()
+  }
+
+  private async releaseLease (): Promise<void> {
+    const { journal } = this.parts
+    if (!this.lease.isHeld()) return
+    try {
+      await this.lease.release()
+      journal.record({ name: 'lease-released', data: { lease: this.service } })
+    } catch (error) {
+      journal.record({ name: 'lease-unreleased', detail: getErrorMessage(error) })
+    }
   }
 
   /** @returns checksums of the latest list and configuration; `undefined` unless this process follows them */
@@ -70,12 +97,6 @@
     return { endpoints: endpoints.computeChecksum(), config: config.computeChecksum() }
   }
 
-  /** Ends {@link run} after its present step. */
-  stop (): void {
-    this.isStopped = true
-    this.end()
-  }
-
   /** Ranks all sidecars of the layout alike, so that few of them ask the store often. */
   private getLookInterval (): number {
     const object = this.layouts.find(this.service)
--- a/packages/coordination/src/lib/timed-lease.ts
+++ b/packages/coordination/src/lib/timed-lease.ts
@@ -1,5 +1,6 @@
 /**
- * A lease that its holder renews and that another process takes once it has seen no renewal for a whole term.
+ * A lease that its holder renews and that another process takes once it was given up or has seen no renewal for a whole
+ * term.
  *
  * Only the steady clock of each process decides. The object's revision serves as fencing number: it grows with every
  * write, so that what a former holder writes or orders later can be told from what its successor does.
@@ -19,6 +20,9 @@
 
 const getSpec = (object: KindObject): Partial<LeaseSpec> => (object.spec ?? {}) as Partial<LeaseSpec>
 
+/** Holder of a lease that was given up. */
+const nobody = ''
+
 /** One process's view of a lease. */
 export class TimedLease {
   private seenRevision = 0
@@ -61,9 +65,23 @@
     }
   }
 
+  /**
+   * Gives the lease up, if this process holds it, so that another takes it at its next look.
+   *
+   * @throws `conflict` if another has taken it, `store-unavailable` if the store does not say; it then ends with its term
+   */
+  async release (): Promise<void> {
+    const revision = this.heldRevision
+    if (revision === 0) return
+    this.heldRevision = 0
+    const spec: LeaseSpec = { holder: nobody, renewals: revision }
+    await this.store.replace(this.kind, this.name, spec, revision)
+  }
+
   private async acquire (startedMs: number): Promise<boolean> {
     const object = await this.store.read(this.kind, this.name, Freshness.stale)
     if (object === undefined) return await this.write(0, startedMs)
+    if (getSpec(object).holder === nobody) return await this.write(object.revision, startedMs)
     if (object.revision !== this.seenRevision) {
       this.seenRevision = object.revision
       this.seenAtMs = startedMs
--- a/packages/routing/src/lib/layers/layout-policy.ts
+++ b/packages/routing/src/lib/layers/layout-policy.ts
@@ -19,6 +19,12 @@
 /** Time without a change after which groups are formed anew, in milliseconds: a replacement is listed within it. */
 const regroupMs = 2500
 
+const hasSameAssignments = (one: readonly LayerAssignment[], other: readonly LayerAssignment[]): boolean =>
+  one.length === other.length && one.every(({ address, from, to, wave }, index) => {
+    const { address: otherAddress, from: otherFrom, to: otherTo, wave: otherWave } = other[index] as LayerAssignment
+    return address === otherAddress && from === otherFrom && to === otherTo && wave === otherWave
+  })
+
 /** Watches the endpoints of one service. */
 export class LayoutPolicy {
   private readonly lastSeenMs = new Map<string, number>()
@@ -81,7 +87,7 @@
     const hasNew = members.some((member) => !assigned.has(member.address))
     const repaired = hasLost || hasNew ? repairLayout(present, members, this.known, engine) : present
     const covered = coverAbsent(repaired, this.listAbsent(), this.known, engine)
-    if (covered !== present) return [...covered]
+    if (!hasSameAssignments(covered, present)) return [...covered]
     return this.regroup(present, members, engine, nowMs)
   }
 
--- a/packages/routing/src/test/layout-policy_test.ts
+++ b/packages/routing/src/test/layout-policy_test.ts
@@ -90,3 +90,23 @@
   }
   assert.deepEqual(written, [6000])
 })
+
+test('an endpoint too small for any layer does not keep groups from being formed anew', () => {
+  const policy = new LayoutPolicy()
+  const tiny = { name: 'tiny', memoryMb: 1000, stepFactor: 16, readFactor: 8 }
+  const mixed = { ...engine, types: [...engine.types, tiny] }
+  const all = [...endpoints, { ...endpoints[0] as typeof endpoints[number], id: 'a-tiny', address: 'a-tiny', type: 'tiny' }]
+  policy.observe(all, none, mixed, 0)
+  let layout = policy.decide(undefined, mixed, 5000) as LayerAssignment[]
+  const gone = new Set(['c-medium-0', 'c-small-1', 'a-small-0'])
+  const left = all.map((endpoint) => gone.has(endpoint.address) ? { ...endpoint, isLeaving: true } : endpoint)
+  const written: number[] = []
+  for (let nowMs = 6000; nowMs <= 12_000; nowMs += 500) {
+    policy.observe(left, none, mixed, nowMs)
+    const next = policy.decide(layout, mixed, nowMs)
+    if (next === undefined) continue
+    layout = next
+    written.push(nowMs)
+  }
+  assert.deepEqual(written, [6000, 8500])
+})
--- a/packages/stand-ins/src/lib/process-group.ts
+++ b/packages/stand-ins/src/lib/process-group.ts
@@ -3,7 +3,7 @@
  */
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
-import { mkdirSync, openSync } from 'node:fs'
+import { mkdirSync, openSync, readFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { setTimeout as wait } from 'node:timers/promises'
 
@@ -42,6 +42,11 @@
     this.processes.get(name)?.kill(signal)
   }
 
+  /** @returns what a process has written so far, over all its starts */
+  readLog (name: string): string {
+    return readFileSync(join(this.folder, `${name}.log`), 'utf8')
+  }
+
   /** @returns the process's identity in the operating system */
   getPid (name: string): number {
     return this.processes.get(name)?.pid ?? 0
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -3,6 +3,20 @@
  */
 
 export const mutants = [
+  {
+    mechanism: 'a lease that was given up is taken at once',
+    file: 'coordination/dist/lib/timed-lease.js',
+    from: 'getSpec(object).holder === nobody',
+    to: 'false',
+    test: 'coordination/dist/test/kind-replica_test.js'
+  },
+  {
+    mechanism: 'an endpoint without layers does not hold up new groups',
+    file: 'routing/dist/lib/layers/layout-policy.js',
+    from: '!hasSameAssignments(covered, present)',
+    to: 'covered !== present',
+    test: 'routing/dist/test/layout-policy_test.js'
+  },
   {
     mechanism: 'poor groups are cut anew once endpoints have settled',
     file: 'routing/dist/lib/layers/layout-policy.js',
