--- a/packages/routing/src/test/layout-policy_test.ts
+++ b/packages/routing/src/test/layout-policy_test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { countCopies, LayoutPolicy } from '@clementineloft/routing'
-import type { LayerAssignment } from '@clementineloft/routing'
+import type { CallEndpoint, EngineTerms, LayerAssignment } from '@clementineloft/routing'
 import { createEndpoints, createMembers, engine } from './fleet.js'
 
 const members = createMembers()
@@ -59,54 +59,50 @@
   assert.ok(Math.min(...countCopies(group, engine.layers)) >= 1, 'the neighbours widen over the endpoint that leaves')
 })
 
-test('groups are formed anew when endpoints are lost for good and no replacement has come within two heartbeats', () => {
-  const policy = new LayoutPolicy()
-  let layout = settle(policy)
-  const gone = new Set(['c-medium-0', 'c-small-1', 'a-small-0'])
-  const left = endpoints.map((endpoint) => gone.has(endpoint.address) ? { ...endpoint, isLeaving: true } : endpoint)
-  const written: number[] = []
+/** Lets a policy decide twice a second from second 6 to 12. @returns when it changed the layout, in milliseconds */
+const listChanges = (
+  policy: LayoutPolicy,
+  layout: readonly LayerAssignment[],
+  list: readonly CallEndpoint[],
+  silent: ReadonlySet<string> = none,
+  terms: EngineTerms = engine
+): number[] => {
+  let present = layout
+  const changes: number[] = []
   for (let nowMs = 6000; nowMs <= 12_000; nowMs += 500) {
-    policy.observe(left, none, engine, nowMs)
-    const next = policy.decide(layout, engine, nowMs)
+    policy.observe(list, silent, terms, nowMs)
+    const next = policy.decide(present, terms, nowMs)
     if (next === undefined) continue
-    layout = next
-    written.push(nowMs)
+    present = next
+    changes.push(nowMs)
   }
-  assert.deepEqual(written, [6000, 8500], 'repaired at once, cut anew when nothing has changed for 2.5 s')
+  return changes
+}
+
+const lost = new Set(['c-medium-0', 'c-small-1', 'a-small-0'])
+
+const markLost = (list: readonly CallEndpoint[]): CallEndpoint[] =>
+  list.map((endpoint) => lost.has(endpoint.address) ? { ...endpoint, isLeaving: true } : endpoint)
+
+test('groups are formed anew when endpoints are lost for good and no replacement has come within two heartbeats', () => {
+  const policy = new LayoutPolicy()
+  const layout = settle(policy)
+  assert.deepEqual(listChanges(policy, layout, markLost(endpoints)), [6000, 8500], 'repaired at once, cut anew when nothing has changed for 2.5 s')
 })
 
 test('groups stay as they are while an endpoint does not answer', () => {
   const policy = new LayoutPolicy()
-  let layout = settle(policy)
+  const layout = settle(policy)
   const silent = new Set([layout.find((assignment) => assignment.address.startsWith('c-medium'))?.address as string])
-  const written: number[] = []
   policy.observe(endpoints, none, engine, 5500)
-  for (let nowMs = 6000; nowMs <= 12_000; nowMs += 500) {
-    policy.observe(endpoints, silent, engine, nowMs)
-    const next = policy.decide(layout, engine, nowMs)
-    if (next === undefined) continue
-    layout = next
-    written.push(nowMs)
-  }
-  assert.deepEqual(written, [6000])
+  assert.deepEqual(listChanges(policy, layout, endpoints, silent), [6000])
 })
 
 test('an endpoint too small for any layer does not keep groups from being formed anew', () => {
   const policy = new LayoutPolicy()
-  const tiny = { name: 'tiny', memoryMb: 1000, stepFactor: 16, readFactor: 8 }
-  const mixed = { ...engine, types: [...engine.types, tiny] }
-  const all = [...endpoints, { ...endpoints[0] as typeof endpoints[number], id: 'a-tiny', address: 'a-tiny', type: 'tiny' }]
-  policy.observe(all, none, mixed, 0)
-  let layout = policy.decide(undefined, mixed, 5000) as LayerAssignment[]
-  const gone = new Set(['c-medium-0', 'c-small-1', 'a-small-0'])
-  const left = all.map((endpoint) => gone.has(endpoint.address) ? { ...endpoint, isLeaving: true } : endpoint)
-  const written: number[] = []
-  for (let nowMs = 6000; nowMs <= 12_000; nowMs += 500) {
-    policy.observe(left, none, mixed, nowMs)
-    const next = policy.decide(layout, mixed, nowMs)
-    if (next === undefined) continue
-    layout = next
-    written.push(nowMs)
-  }
-  assert.deepEqual(written, [6000, 8500])
+  const terms = { ...engine, types: [...engine.types, { name: 'tiny', memoryMb: 1000, stepFactor: 16, readFactor: 8 }] }
+  const list = [...endpoints, { ...endpoints[0] as CallEndpoint, id: 'a-tiny', address: 'a-tiny', type: 'tiny' }]
+  policy.observe(list, none, terms, 0)
+  const layout = policy.decide(undefined, terms, 5000) as LayerAssignment[]
+  assert.deepEqual(listChanges(policy, layout, markLost(list), none, terms), [6000, 8500])
 })
--- a/packages/stand-ins/src/measure.ts
+++ b/packages/stand-ins/src/measure.ts
@@ -3,6 +3,7 @@
  */
 import { measureClaims } from './measure/measure-claims.js'
 import { measureShares, measureWaiting } from './measure/measure-fairness.js'
+import { measureLayoutTime } from './measure/measure-layout-time.js'
 import { measureOverload } from './measure/measure-overload.js'
 import { measurePlacing } from './measure/measure-placing.js'
 import { measurePicking } from './measure/measure-picking.js'
@@ -24,6 +25,7 @@
   picking: { measure: measurePicking, picture: { label: 0, values: [1, 2, 3, 4], axis: 'share of the maximum flow, %' } },
   placing: { measure: measurePlacing },
   regrouping: { measure: measureRegrouping },
+  'layout-time': { measure: measureLayoutTime },
   'turning-away': { measure: measureTurningAway },
   waiting: { measure: measureWaiting },
   shares: { measure: measureShares, picture: { label: 0, values: [6], axis: 'worst deviation from the share that is due, %' } },
--- /dev/null
+++ b/packages/stand-ins/src/measure/measure-layout-time.ts
@@ -0,0 +1,54 @@
+/**
+ * Time to decide on the layout of a fleet of the target size: planned from nothing, repaired, and cut anew.
+ */
+import { SeededRandom } from '@clementineloft/kernel'
+import { coverAbsent, planLayout, regroupLayout, repairLayout } from '@clementineloft/routing'
+import type { LayerAssignment, LayoutMember } from '@clementineloft/routing'
+import { createMembers, engine } from '@clementineloft/routing/test-fleet'
+import { target } from './capacity-slopes.js'
+import type { MeasuredTable } from './table.js'
+
+const seed = 17
+const lostCounts = [10, 60, 200]
+/** Data centres that share the fleet. */
+const dataCentres = 21
+
+/** @returns a fleet of the target size, with the mixed fleet's types */
+const createLargeFleet = (): LayoutMember[] => {
+  const mixed = createMembers()
+  return Array.from({ length: target.workers }, (_, index) => {
+    const { type } = mixed[index % mixed.length] as LayoutMember
+    return { address: `endpoint-${index}`, dataCentre: `centre-${Math.floor(index / mixed.length) % dataCentres}`, type }
+  })
+}
+
+const measureMs = <Result>(decide: () => Result): { result: Result, ms: string } => {
+  const startMs = performance.now()
+  const result = decide()
+  return { result, ms: (performance.now() - startMs).toFixed(0) }
+}
+
+const countLoads = (before: readonly LayerAssignment[], after: readonly LayerAssignment[]): number =>
+  after.filter(({ address, from, to }) => !before.some((other) => other.address === address && other.from <= from && other.to >= to)).length
+
+/** Measures how long decisions on a layout hold up the loop of the process that takes them. */
+export const measureLayoutTime = (): MeasuredTable => {
+  const members = createLargeFleet()
+  const index = new Map(members.map((member) => [member.address, member]))
+  const planned = measureMs(() => planLayout(members, engine))
+  const random = new SeededRandom(seed)
+  const rows = lostCounts.map((count) => {
+    const lost = new Set<LayoutMember>()
+    while (lost.size < count) lost.add(random.pickItem(members))
+    const live = members.filter((member) => !lost.has(member))
+    const repaired = measureMs(() => coverAbsent(repairLayout(planned.result, live, index, engine), new Set(), index, engine))
+    const regrouped = measureMs(() => regroupLayout(repaired.result, live, engine))
+    return [count, repaired.ms, regrouped.ms, regrouped.result === undefined ? 'kept' : countLoads(repaired.result, regrouped.result)]
+  })
+  return {
+    title: 'Layout: time of a decision at the target size',
+    note: `${target.workers} endpoints in ${dataCentres} data centres; planned from nothing in ${planned.ms} ms. Seed ${seed}.`,
+    columns: ['endpoints lost for good', 'repaired, ms', 'cut anew, ms', 'endpoints that load'],
+    rows
+  }
+}
