--- a/packages/routing/src/lib/layers/layer-layout.ts
+++ b/packages/routing/src/lib/layers/layer-layout.ts
@@ -15,7 +15,7 @@
 /** The layers of one endpoint. */
 export interface LayerAssignment extends LayerSpan {
   address: string
-  /** Order in which groups load after all endpoints have lost their layers; 0 first. */
+  /** Number of its group, by rate: 0 is the fastest; {@link spareWave} outside every group. */
   wave: number
 }
 
@@ -26,7 +26,7 @@
 
 /** Most members of a group: each one adds a hop to every token. */
 const maxGroupSize = 16
-/** Wave of endpoints outside every group: they load last. */
+/** Wave of endpoints outside every group. */
 export const spareWave = 1000
 /** Room for requests beside the layers of an endpoint outside every group, in tokens. */
 const spareRoomTokens = 24_000
--- a/packages/routing/src/lib/layers/layout-regroup.ts
+++ b/packages/routing/src/lib/layers/layout-regroup.ts
@@ -53,7 +53,7 @@
   return group.rate < (planGroup(members, engine)?.rate ?? Infinity) * poorShare
 }
 
-/** Numbers the groups by rate, so that the fastest load first. */
+/** Numbers the groups by rate, the fastest first. */
 const assignWaves = (groups: readonly RatedGroup[]): LayerAssignment[] =>
   [...groups].sort((a, b) => b.rate - a.rate)
     .flatMap((group, wave) => group.parts.map(({ member, from, to }) => ({ address: member.address, from, to, wave })))
