--- a/packages/routing/src/lib/layers/layout-policy.ts
+++ b/packages/routing/src/lib/layers/layout-policy.ts
@@ -19,6 +19,7 @@
 /** Time without a change after which groups are formed anew, in milliseconds: a replacement is listed within it. */
 const regroupMs = 2500
 
+/** @returns whether two layouts are the same, in the same order */
 const hasSameAssignments = (one: readonly LayerAssignment[], other: readonly LayerAssignment[]): boolean =>
   one.length === other.length && one.every(({ address, from, to, wave }, index) => {
     const { address: otherAddress, from: otherFrom, to: otherTo, wave: otherWave } = other[index] as LayerAssignment
@@ -35,6 +36,7 @@
   private observedMs = -Infinity
   /** When an endpoint last came, left or stopped to answer. */
   private changedMs = -Infinity
+  /** Endpoints that answered at the last look. */
   private present = new Set<string>()
   /** When the endpoints of new groups have loaded their layers at the latest. */
   private loadedMs = -Infinity
--- a/packages/routing/src/lib/layers/layout-regroup.ts
+++ b/packages/routing/src/lib/layers/layout-regroup.ts
@@ -14,7 +14,7 @@
 
 /** Least gain for which endpoints load again, as a part of what the layout serves: a group among six or seven. */
 const leastGain = 0.15
-/** Part of what endpoints serve that their loads cost: some three seconds in half a minute, after which others are lost. */
+/** Part of what an endpoint serves that its load costs: some three seconds of the half minute until the next loss. */
 const loadCost = 0.1
 /** Least gain for which members give layers up, as a part of what their group serves. */
 const leastNarrowingGain = 0.02
@@ -25,6 +25,7 @@
 /** Groups that are tried alone, and together with the poor ones, slowest first; each costs one plan of a few endpoints. */
 const mostTried = 8
 
+/** A group with what it serves. */
 interface RatedGroup {
   parts: HeldLayers[]
   /** Requests a second. */
@@ -46,8 +47,10 @@
   return [...partsByWave.values()].map((parts) => createGroup(parts, engine)).sort((a, b) => b.rate - a.rate)
 }
 
+/** @returns requests a second of all groups together */
 const addRates = (groups: readonly RatedGroup[]): number => groups.reduce((sum, group) => sum + group.rate, 0)
 
+/** @returns whether the members of a group could serve clearly more with other layers */
 const isPoor = (group: RatedGroup, engine: EngineTerms): boolean => {
   const members = group.parts.map((part) => part.member)
   return group.rate < (planGroup(members, engine)?.rate ?? Infinity) * poorShare
@@ -96,8 +99,10 @@
 }
 
 /**
+ * Looks for groups that serve more than the present ones; most endpoints keep their layers.
+ *
  * @param present - the layout in force
- * @param members - endpoints that live now
+ * @param members - endpoints that live now and answer
  * @param engine - the model
  * @returns a layout that serves clearly more, or `undefined` if the present one may stay
  */
--- a/packages/routing/src/lib/layers/path-costs.ts
+++ b/packages/routing/src/lib/layers/path-costs.ts
@@ -3,7 +3,7 @@
  *
  * Answers the load pattern of several entries that send to the same endpoints and see each other's requests only in
  * reports some hundred milliseconds old: every other entry is expected to have sent since a report what this one sends
- * in that time at its mean rate, so that they do not fill an endpoint together.
+ * in that time at its mean rate, or what it has sent if that is more, so that they do not fill an endpoint together.
  */
 import type { Clock } from '@clementineloft/kernel'
 import type { AcceleratorType, EngineTerms } from '../calls/call-terms.js'
--- a/packages/routing/src/lib/layers/sending-rate.ts
+++ b/packages/routing/src/lib/layers/sending-rate.ts
@@ -12,16 +12,20 @@
   tokenLayers: number
 }
 
-/** Time after which work sent counts 1/e, in milliseconds: several reports, so that an entry that sends less often than they come has a rate. */
+/** Time after which work sent counts 1/e, in milliseconds: six reports, so that an entry that sends seldom has a rate too. */
 const meanLifeMs = 2000
 
-/** Moving mean of what was sent in a time. */
+/** Moving mean of what one entry sends to one endpoint. */
 export class SendingRate {
   private requests = 0
   private tokenLayers = 0
   private updatedMs = -Infinity
 
-  /** Notes one request. */
+  /**
+   * Notes one request.
+   *
+   * @param tokenLayers - its memory, in tokens times layers
+   */
   record (tokenLayers: number, nowMs: number): void {
     this.decay(nowMs)
     this.requests++
