--- /dev/null
+++ b/packages/coordination/src/test/scripted-store.ts
@@ -0,0 +1,102 @@
+/**
+ * A store for tests: whole objects, pages, watches and a history, with the faults that a test asks for.
+ */
+import { createError, ErrorKind } from '@clementineloft/kernel'
+import { KindStore } from '@clementineloft/coordination'
+import type { Freshness, KindChanges, KindObject, KindPage } from '@clementineloft/coordination'
+
+/** Answers what a test puts into it. */
+export class ScriptedStore extends KindStore {
+  readonly objects = new Map<string, KindObject>()
+  revision = 0
+  isDown = false
+  hasHistory = true
+  pageSize = 2
+  watches = 0
+  lists = 0
+  /** Whether watches hear nothing more. */
+  isDeaf = false
+  private readonly log: Array<{ object: KindObject, isDeleted: boolean }> = []
+  private wakers: Array<() => void> = []
+
+  put (name: string, spec: unknown): KindObject {
+    const object = { name, spec, revision: ++this.revision }
+    this.objects.set(name, object)
+    this.note(object, false)
+    return object
+  }
+
+  remove (name: string): void {
+    const object = this.objects.get(name) as KindObject
+    this.objects.delete(name)
+    this.note({ ...object, revision: ++this.revision }, true)
+  }
+
+  signal (): void {
+    if (this.isDeaf) return
+    for (const waker of this.wakers.splice(0)) waker()
+  }
+
+  override async list (_kind: string, after?: string): Promise<KindPage> {
+    this.check()
+    this.lists++
+    const names = [...this.objects.keys()].sort().filter((name) => after === undefined || name > after)
+    const page = names.slice(0, this.pageSize)
+    const hasNext = names.length > page.length
+    return {
+      objects: page.map((name) => this.objects.get(name) as KindObject),
+      revision: this.revision,
+      ...(hasNext ? { nextAfter: page.at(-1) as string } : {})
+    }
+  }
+
+  override async read (_kind: string, name: string): Promise<KindObject | undefined> {
+    this.check()
+    return this.objects.get(name)
+  }
+
+  /** Watches that wait now never hear anything again. */
+  dropWatches (): void {
+    this.wakers = []
+  }
+
+  override async watch (_kind: string, revision: number, _waitMs: number, _freshness?: Freshness, signal?: AbortSignal): Promise<KindChanges> {
+    this.check()
+    this.watches++
+    if (!this.hasHistory) {
+      this.hasHistory = true
+      return { revision }
+    }
+    const find = (): typeof this.log => this.log.filter((change) => change.object.revision > revision)
+    if (find().length === 0) {
+      await new Promise<void>((resolve) => {
+        this.wakers.push(resolve)
+        signal?.addEventListener('abort', () => { resolve() })
+      })
+    }
+    if (signal?.aborted === true) return { changes: [], revision }
+    this.check()
+    return { changes: find(), revision: this.revision }
+  }
+
+  override async create (_kind: string, name: string, spec: unknown): Promise<KindObject> {
+    this.check()
+    if (this.objects.has(name)) throw createError(ErrorKind.conflict, 'exists')
+    return this.put(name, spec)
+  }
+
+  override async replace (_kind: string, name: string, spec: unknown, revision: number): Promise<KindObject> {
+    this.check()
+    if (this.objects.get(name)?.revision !== revision) throw createError(ErrorKind.conflict, 'changed')
+    return this.put(name, spec)
+  }
+
+  private note (object: KindObject, isDeleted: boolean): void {
+    this.log.push({ object, isDeleted })
+    this.signal()
+  }
+
+  private check (): void {
+    if (this.isDown) throw createError(ErrorKind.storeUnavailable, 'down')
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/test/timed-lease_test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { ManualClock } from '@clementineloft/kernel'
+import { TimedLease } from '@clementineloft/coordination'
+import { ScriptedStore } from './scripted-store.js'
+
+const termMs = 4000
+
+/** Two processes that compete for one lease. */
+const createLeases = (): { store: ScriptedStore, clock: ManualClock, first: TimedLease, second: TimedLease } => {
+  const store = new ScriptedStore()
+  const clock = new ManualClock()
+  const createLease = (holder: string): TimedLease => new TimedLease(store, 'l', 'x', holder, termMs, clock)
+  return { store, clock, first: createLease('first'), second: createLease('second') }
+}
+
+test('a lease passes on when its holder has not renewed it for a term, and never before', async () => {
+  const { clock, first, second } = createLeases()
+  assert.equal(await first.advance(), true)
+  for (let round = 0; round < 5; round++) {
+    clock.advance(1200)
+    assert.equal(await first.advance(), true)
+    assert.equal(await second.advance(), false)
+  }
+  clock.advance(termMs - 100)
+  assert.equal(await second.advance(), false)
+  assert.equal(first.isHeld(), false, 'a holder that was paused no longer trusts its lease')
+  clock.advance(termMs)
+  assert.equal(await second.advance(), true)
+  assert.equal(await first.advance(), false)
+  assert.equal(second.isHeld(), true)
+})
+
+test('a renewal whose answer was lost is found again by its holder', async () => {
+  const { store, first } = createLeases()
+  await first.advance()
+  store.put('x', { holder: 'first', renewals: 99 })
+  assert.equal(await first.advance(), true)
+  assert.equal(first.isHeld(), true)
+})
+
+test('a lease that its holder gives up is taken at once, and not renewed by its former holder', async () => {
+  const { clock, first, second } = createLeases()
+  await first.advance()
+  assert.equal(await second.advance(), false)
+  await first.release()
+  assert.equal(first.isHeld(), false)
+  clock.advance(100)
+  assert.equal(await second.advance(), true)
+  assert.equal(await first.advance(), false)
+})
+
+test('giving up a lease that another has taken changes nothing', async () => {
+  const { clock, first, second } = createLeases()
+  await first.advance()
+  await second.advance()
+  clock.advance(termMs)
+  assert.equal(await second.advance(), true)
+  await assert.rejects(first.release())
+  assert.equal(second.isHeld(), true)
+  assert.equal(await second.advance(), true)
+})
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -8,7 +8,7 @@
     file: 'coordination/dist/lib/timed-lease.js',
     from: 'getSpec(object).holder === nobody',
     to: 'false',
-    test: 'coordination/dist/test/kind-replica_test.js'
+    test: 'coordination/dist/test/timed-lease_test.js'
   },
   {
     mechanism: 'an endpoint without layers does not hold up new groups',
@@ -428,6 +428,6 @@
     file: 'coordination/dist/lib/timed-lease.js',
     from: 'this.clock.now() - this.confirmedMs < this.termMs * 0.8',
     to: 'true',
-    test: 'coordination/dist/test/kind-replica_test.js'
+    test: 'coordination/dist/test/timed-lease_test.js'
   }
 ]
