Give a process that has just started nothing of the retry allowance

Ruled out: a ramp from zero to the full share, which still allows almost twice the share within one window. Requests and retries are forgotten when they leave the window, also in an entry that never retries (requestTimes grew for ever).

--- a/packages/clementineloft/src/lib/forwarding/forwarding-context.ts
+++ b/packages/clementineloft/src/lib/forwarding/forwarding-context.ts
@@ -34,6 +34,8 @@
   private checkTimer: NodeJS.Timeout | undefined
   isLeaving = false
   private readonly retryWindows = new Map<string, RetryWindow>()
+  /** Start of this process, in milliseconds of the clock. */
+  private readonly startMs: number
 
   constructor (
     readonly protocol: CallProtocol,
@@ -45,6 +47,7 @@
     dataCentre: string,
     private readonly retryOptions: RetryWindowOptions
   ) {
+    this.startMs = clock.now()
     this.directory = new CallDirectory(clock)
     this.placement = new CallPlacement(this.directory, dataCentre, random)
     this.exchanges = new EndpointExchanges(clock)
@@ -56,7 +59,7 @@
   getRetryWindow (service: string): RetryWindow {
     const known = this.retryWindows.get(service)
     if (known !== undefined) return known
-    const window = new RetryWindow(this.clock, this.retryOptions, () => this.directory.costs.countEntries())
+    const window = new RetryWindow(this.clock, this.retryOptions, () => this.directory.costs.countEntries(), this.startMs)
     this.retryWindows.set(service, window)
     return window
   }
--- a/packages/routing/src/lib/calls/retry-window.ts
+++ b/packages/routing/src/lib/calls/retry-window.ts
@@ -2,9 +2,11 @@
  * Limits the retries that all entries together send in a sliding window, without coordination between them.
  *
  * Addresses a failing service whose callers and entries all retry at once: each entry may spend a fraction of its own
- * requests and an equal share of a fixed allowance.
+ * requests and an equal share of a fixed allowance. A process that replaces one that was killed takes nothing of the
+ * allowance for one window, since its predecessor may have spent the same share just before.
  */
 import type { Clock } from '@clementineloft/kernel'
+import { SlidingCount } from './sliding-count.js'
 
 /** Limits of a retry budget. */
 export interface RetryWindowOptions {
@@ -23,38 +25,45 @@
 
 /** Requests and retries of one entry to one service in a sliding window. */
 export class RetryWindow {
-  private requestTimes: number[] = []
-  private retryTimes: number[] = []
+  private readonly requests: SlidingCount
+  private readonly retries: SlidingCount
 
   /**
    * @param options - limits over all entries
    * @param countEntries - returns the number of entries currently known, including this one
+   * @param processStartMs - start of this process, in milliseconds of the clock
    */
   constructor (
     private readonly clock: Clock,
     private readonly options: RetryWindowOptions,
-    private readonly countEntries: () => number
-  ) {}
+    private readonly countEntries: () => number,
+    private readonly processStartMs: number
+  ) {
+    this.requests = new SlidingCount(clock, options.windowMs)
+    this.retries = new SlidingCount(clock, options.windowMs)
+  }
 
   /** Records a request of a caller. */
   recordRequest (): void {
-    this.requestTimes.push(this.clock.now())
+    this.requests.record()
   }
 
   /** @returns whether the budget permits a retry */
   canTake (): boolean {
-    const { windowMs, ratio, extra } = this.options
-    const startMs = this.clock.now() - windowMs
-    this.requestTimes = this.requestTimes.filter((timeMs) => timeMs > startMs)
-    this.retryTimes = this.retryTimes.filter((timeMs) => timeMs > startMs)
-    const share = extra / Math.max(minSharingEntries, this.countEntries() * entryCountMargin)
-    return this.retryTimes.length + 1 <= this.requestTimes.length * ratio + share
+    return this.retries.count() + 1 <= this.requests.count() * this.options.ratio + this.computeShare()
   }
 
   /** Takes one retry from the budget. @returns whether the budget permitted it */
   take (): boolean {
     if (!this.canTake()) return false
-    this.retryTimes.push(this.clock.now())
+    this.retries.record()
     return true
   }
+
+  /** @returns share of this process in the fixed allowance; none until its predecessor's retries have left the window */
+  private computeShare (): number {
+    const { windowMs, extra } = this.options
+    if (this.clock.now() - this.processStartMs < windowMs) return 0
+    return extra / Math.max(minSharingEntries, this.countEntries() * entryCountMargin)
+  }
 }
--- a/packages/routing/src/test/calls_test.ts
+++ b/packages/routing/src/test/calls_test.ts
@@ -4,7 +4,7 @@
 import { ManualClock, SeededRandom } from '@clementineloft/kernel'
 import {
   AttemptEnd, chooseEndpoint, chooseNextStep, computeRetryDelay, EndpointHealth, FailureEvidence, LoadTable, NextStep, Repeatability, RetryWindow,
-  RouteTable, StreamProgress, WaitingQueue
+  RouteTable, SlidingCount, StreamProgress, WaitingQueue
 } from '@clementineloft/routing'
 import type { CallConfig, CallEndpoint, WaitingCall } from '@clementineloft/routing'
 import { createRoute } from './fleet.js'
@@ -59,7 +59,7 @@
   for (const entries of [8, 65]) {
     const clock = new ManualClock()
     const options = { windowMs: 10_000, ratio: 0.16, extra: 370 }
-    const windows = Array.from({ length: entries }, () => new RetryWindow(clock, options, () => entries))
+    const windows = Array.from({ length: entries }, () => new RetryWindow(clock, options, () => entries, -options.windowMs))
     const repeats: number[] = []
     for (let step = 0; step < 3000; step++) {
       clock.advance(10)
@@ -74,6 +74,36 @@
   }
 })
 
+test('entries that are killed and start again together stay within the retry budget', () => {
+  const entries = 44
+  const options = { windowMs: 10_000, ratio: 0.16, extra: 370 }
+  const clock = new ManualClock()
+  let retries = 0
+  let startMs = -options.windowMs
+  for (let life = 0; life < 3; life++) {
+    const windows = Array.from({ length: entries }, () => new RetryWindow(clock, options, () => entries, startMs))
+    for (const window of windows) {
+      window.recordRequest()
+      while (window.take()) retries++
+    }
+    clock.advance(2000)
+    startMs = clock.now()
+  }
+  assert.ok(retries > 0)
+  assert.ok(retries <= 3 * entries * 0.2 + options.extra, `${retries} retries within one window`)
+})
+
+test('a sliding count forgets events that have left the window, also if nobody asks for the count', () => {
+  const clock = new ManualClock()
+  const count = new SlidingCount(clock, 1000)
+  for (let event = 0; event < 20_000; event++) {
+    clock.advance(10)
+    count.record()
+  }
+  assert.equal(count.count(), 100)
+  assert.ok(count.countHeld() < 500, `${count.countHeld()} events in memory`)
+})
+
 test('an endpoint that keeps failing is excluded for longer each time and is tried again afterwards', () => {
   const clock = new ManualClock()
   const health = new EndpointHealth(clock)
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -364,10 +364,31 @@
   {
     mechanism: 'retries are counted in a sliding window',
     file: 'routing/dist/lib/calls/retry-window.js',
-    from: 'this.retryTimes.push(this.clock.now());',
+    from: 'this.retries.record();',
     to: '',
     test: 'routing/dist/test/calls_test.js'
   },
+  {
+    mechanism: 'a process that has just started takes nothing of the fixed retry allowance',
+    file: 'routing/dist/lib/calls/retry-window.js',
+    from: 'if (this.clock.now() - this.processStartMs < windowMs)',
+    to: 'if (false)',
+    test: 'routing/dist/test/calls_test.js'
+  },
+  {
+    mechanism: 'events that have left the window are forgotten',
+    file: 'routing/dist/lib/calls/sliding-count.js',
+    from: 'if (this.first <= maxExpiredEvents)',
+    to: 'if (true)',
+    test: 'routing/dist/test/calls_test.js'
+  },
+  {
+    mechanism: 'listed layers are used only once a report confirms them',
+    file: 'clementineloft/dist/lib/forwarding/call-directory.js',
+    from: 'this.clock.now() - listedMs < confirmationTimeoutMs',
+    to: 'false',
+    test: 'clementineloft/dist/test/call-directory_test.js'
+  },
   {
     mechanism: 'teams with the lowest usage go first in the queue',
     file: 'routing/dist/lib/calls/waiting-queue.js',
