Search for queued calls only when capacity may have changed

Cause: while calls wait, each report (342 a second at an entry of the large site) started up to three searches, which must fail as long as the fleet is full: up to a thousand searches a second, when load is worst. Change: a pass over the queue at most every 40 ms; a request at least as large as one that found no path is not searched for again until an endpoint reports less work than estimated, joins, answers again, or a call of this entry ends, or 100 ms have passed. A failure of a call that avoids endpoints is not remembered.

--- a/packages/clementineloft/src/lib/forwarding/call-directory.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-directory.ts
@@ -29,6 +29,7 @@
   /** When an endpoint was listed for the first time, by endpoint id, in milliseconds of the clock. */
   private readonly firstListedMs = new Map<string, number>()
   private readonly services = new Map<string, CallService>()
+  private capacityVersion = 0
 
   constructor (private readonly clock: Clock) {
     this.costs = new PathCosts(clock)
@@ -56,6 +57,7 @@
       if (serviceEndpoints === undefined) this.endpointsByService.set(endpoint.service, [endpoint])
       else serviceEndpoints.push(endpoint)
     }
+    this.capacityVersion++
     this.loads.retain(ids)
     this.health.retain(ids)
     this.costs.retain(ids)
@@ -85,11 +87,22 @@
       this.silentReportMs.set(endpoint.id, this.clock.now())
       return isNewlySilent ? endpoint : undefined
     }
-    this.silentReportMs.delete(endpoint.id)
-    this.costs.recordReport(endpoint.id, report, entries)
+    const wasSilent = this.silentReportMs.delete(endpoint.id)
+    const hasFreed = this.costs.recordReport(endpoint.id, report, entries)
+    if (wasSilent || hasFreed) this.capacityVersion++
     return undefined
   }
 
+  /** Records that a call of this entry has ended, so that its endpoints may take another one. */
+  recordFreed (): void {
+    this.capacityVersion++
+  }
+
+  /** @returns a number that changes whenever an endpoint may take a call that it could not take before */
+  getCapacityVersion (): number {
+    return this.capacityVersion
+  }
+
   /**
    * @returns the layers that an endpoint holds, from its sidecar's latest report or otherwise from the list; `undefined` if
    *   it holds none, or was listed only now and has not been reported on yet
@@ -125,6 +138,7 @@
 
   /** @param services - services of the current configuration */
   applyServices (services: readonly CallService[]): void {
+    this.capacityVersion++
     this.services.clear()
     for (const service of services) this.services.set(service.name, service)
   }
--- a/packages/clementineloft/src/lib/forwarding/call-placement.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-placement.ts
@@ -1,9 +1,9 @@
 /**
  * Selects where a call runs: one endpoint of a plain service, or a path over model endpoints that covers all layers.
  */
-import { chooseEndpoint, countCopies, findPath } from '@clementineloft/routing'
+import { chooseEndpoint, countCopies, findPath, PlacementMemo } from '@clementineloft/routing'
 import type { CallEndpoint, CallRoute, EngineConfig, PathCandidate, PathPart, RequestSize } from '@clementineloft/routing'
-import type { RandomSource } from '@clementineloft/kernel'
+import type { Clock, RandomSource } from '@clementineloft/kernel'
 import type { CallDirectory } from './call-directory.js'
 
 /** Endpoints on which a call runs. */
@@ -23,11 +23,16 @@
 
 /** Places calls by the load, health, cost and layers of the endpoints in a directory. */
 export class CallPlacement {
+  private readonly memo: PlacementMemo
+
   constructor (
     private readonly directory: CallDirectory,
     private readonly dataCentre: string,
-    private readonly random: RandomSource
-  ) {}
+    private readonly random: RandomSource,
+    clock: Clock
+  ) {
+    this.memo = new PlacementMemo(clock)
+  }
 
   /** @returns a random target service of a route, by weight; `undefined` if the route has none */
   pickService (route: CallRoute): string | undefined {
@@ -80,6 +85,7 @@
     const { endpoint, parts, size } = placement
     this.directory.loads.recordEnd(endpoint.id)
     if (parts !== undefined && size !== undefined) this.directory.costs.recordEnd(parts, size)
+    this.directory.recordFreed()
   }
 
   private findPlainEndpoint (service: string, avoided: ReadonlySet<string>): Placement | undefined {
@@ -116,9 +122,13 @@
     size: RequestSize,
     avoided: ReadonlySet<string>
   ): Placement | undefined {
+    const capacityVersion = this.directory.getCapacityVersion()
+    if (this.memo.hasFailed(service, size.promptTokens, capacityVersion)) return undefined
     const parts = findPath(this.listCandidates(service, engine, size, avoided), engine.layers, this.directory.costs.createHopEstimate(engine, size))
     const first = parts?.[0]
-    return first === undefined ? undefined : { endpoint: first.endpoint, parts: parts as PathPart[], size }
+    if (first !== undefined) return { endpoint: first.endpoint, parts: parts as PathPart[], size }
+    if (avoided.size === 0) this.memo.recordFailure(service, size.promptTokens, capacityVersion)
+    return undefined
   }
 
   private listCandidates (service: string, engine: EngineConfig, size: RequestSize, avoided: ReadonlySet<string>): PathCandidate[] {
--- a/packages/clementineloft/src/lib/forwarding/forwarding-context.ts
+++ b/packages/clementineloft/src/lib/forwarding/forwarding-context.ts
@@ -16,6 +16,9 @@
 /** Span over which the retries of refused callers are spread, in milliseconds. */
 const retryAfterSpreadMs = 400
 
+/** Minimum time between two passes over the queue, in milliseconds; reports of a large fleet arrive far more often. */
+const minPassIntervalMs = 40
+
 /** Time between two checks for stalled streams, in milliseconds. */
 const checkIntervalMs = 100
 
@@ -31,6 +34,7 @@
   /** Queue of calls for which no capacity is free. */
   readonly waitingCalls: WaitingQueue<CallRun>
   private isResumeScheduled = false
+  private lastPassMs = -Infinity
   private checkTimer: NodeJS.Timeout | undefined
   isLeaving = false
   private readonly retryWindows = new Map<string, RetryWindow>()
@@ -49,7 +53,7 @@
   ) {
     this.startMs = clock.now()
     this.directory = new CallDirectory(clock)
-    this.placement = new CallPlacement(this.directory, dataCentre, random)
+    this.placement = new CallPlacement(this.directory, dataCentre, random, clock)
     this.exchanges = new EndpointExchanges(clock)
     this.waitingCalls = new WaitingQueue(clock)
     metrics.registerGauge('calls_in_flight', () => this.runs.size)
@@ -76,11 +80,12 @@
     this.resumeWaiting()
   }
 
-  /** Schedules one pass over the queue, which serves all requests made in this turn of the event loop. */
+  /** Schedules one pass over the queue, which serves all requests made until then. */
   resumeWaiting (): void {
     if (this.isResumeScheduled || this.waitingCalls.getLength() === 0) return
     this.isResumeScheduled = true
-    setImmediate(() => {
+    const delayMs = Math.max(0, this.lastPassMs + minPassIntervalMs - this.clock.now())
+    this.clock.schedule(delayMs, () => {
       this.isResumeScheduled = false
       this.startWaiting()
     })
@@ -107,6 +112,7 @@
 
   /** Rejects queued calls that have expired, and starts those for which capacity is free. */
   startWaiting (): void {
+    this.lastPassMs = this.clock.now()
     for (const run of this.waitingCalls.takeExpired()) run.rejectExpired()
     let misses = 0
     for (const run of this.waitingCalls.list()) {
--- a/packages/routing/src/lib/layers/layer-path.ts
+++ b/packages/routing/src/lib/layers/layer-path.ts
@@ -114,9 +114,9 @@
     for (const candidate of this.current) this.begin(candidate)
     for (let index = 1; index < this.boundaries.length && this.steps.size > 0; index++) {
       const boundary = this.boundaries[index] as number
-      this.advance(boundary - (this.boundaries[index - 1] as number))
+      this.addCosts(boundary - (this.boundaries[index - 1] as number))
       if (boundary === this.layers) return this.findCheapest()
-      this.cross(boundary)
+      this.advanceTo(boundary)
     }
     return undefined
   }
@@ -135,13 +135,13 @@
     this.steps.set(candidate, { candidate, from: layer, costMs, partCount: 1, previous: undefined })
   }
 
-  private advance (layers: number): void {
+  private addCosts (layers: number): void {
     for (const step of this.steps.values()) step.costMs += layers * step.candidate.layerMs
   }
 
   /** Removes the steps whose span ends at a boundary, and extends all steps by the candidates that hold the next layer. */
-  private cross (boundary: number): void {
-    const groups = this.groupSteps()
+  private advanceTo (boundary: number): void {
+    const groups = this.collectGroups()
     for (const candidate of this.steps.keys()) {
       if (candidate.span.to <= boundary) this.steps.delete(candidate)
     }
@@ -160,7 +160,7 @@
     for (const step of extended) this.steps.set(step.candidate, step)
   }
 
-  private groupSteps (): StepGroup[] {
+  private collectGroups (): StepGroup[] {
     const groups = new Map<string, StepGroup>()
     for (const step of this.steps.values()) {
       const { dataCentre } = step.candidate.endpoint
--- a/packages/routing/src/lib/layers/path-costs.ts
+++ b/packages/routing/src/lib/layers/path-costs.ts
@@ -103,13 +103,18 @@
    *
    * @param id - identity of the endpoint
    * @param entries - number of entries that receive the report
+   * @returns whether the endpoint may take a request now that it could not take before the report
    */
-  recordReport (id: string, report: EndpointReport, entries: number): void {
+  recordReport (id: string, report: EndpointReport, entries: number): boolean {
     const work = this.getWork(id)
+    const previous = this.findReport(id)
+    const estimated = this.estimateWork(id)
     work.report = report
     work.reportedMs = this.clock.now()
     work.sent = { requests: 0, tokenLayers: 0 }
     this.entries = Math.max(1, entries)
+    if (previous?.layers?.from !== report.layers?.from || previous?.layers?.to !== report.layers?.to) return true
+    return report.active + report.queued < estimated.requests || report.usedTokenLayers < estimated.tokenLayers
   }
 
   /** @returns number of entries that send to the same endpoints, according to the last report */
--- a/packages/routing/src/test/calls_test.ts
+++ b/packages/routing/src/test/calls_test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check'
 import { ManualClock, SeededRandom } from '@clementineloft/kernel'
 import {
-  AttemptEnd, chooseEndpoint, chooseNextStep, computeRetryDelay, EndpointHealth, FailureEvidence, LoadTable, NextStep, Repeatability, RetryWindow,
+  AttemptEnd, chooseEndpoint, chooseNextStep, computeRetryDelay, EndpointHealth, FailureEvidence, LoadTable, NextStep, PlacementMemo, Repeatability, RetryWindow,
   RouteTable, SlidingCount, StreamProgress, WaitingQueue
 } from '@clementineloft/routing'
 import type { CallConfig, CallEndpoint, WaitingCall } from '@clementineloft/routing'
@@ -183,3 +183,17 @@
   assert.ok(computeRetryDelay({ remainingMs: 400, isCoverageMissing: true, waitMs: 0 }, random) <= 100)
   assert.ok(computeRetryDelay({ remainingMs: 18_000, isCoverageMissing: false, waitMs: 0 }, random) <= 600)
 })
+
+test('a search that must fail is not repeated until capacity has changed, the request is smaller, or some time has passed', () => {
+  const clock = new ManualClock()
+  const memo = new PlacementMemo(clock)
+  assert.equal(memo.hasFailed('s', 900, 1), false)
+  memo.recordFailure('s', 800, 1)
+  assert.equal(memo.hasFailed('s', 900, 1), true)
+  assert.equal(memo.hasFailed('s', 800, 1), true)
+  assert.equal(memo.hasFailed('s', 799, 1), false)
+  assert.equal(memo.hasFailed('other', 900, 1), false)
+  assert.equal(memo.hasFailed('s', 900, 2), false)
+  clock.advance(100)
+  assert.equal(memo.hasFailed('s', 900, 1), false)
+})
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -375,6 +375,27 @@
     to: 'if (false)',
     test: 'routing/dist/test/calls_test.js'
   },
+  {
+    mechanism: 'a search that must fail is not repeated',
+    file: 'routing/dist/lib/calls/placement-memo.js',
+    from: 'failure.capacityVersion !== capacityVersion',
+    to: 'true',
+    test: 'clementineloft/dist/test/call-placement_test.js'
+  },
+  {
+    mechanism: 'a failed search for a call that avoids endpoints says nothing about other calls',
+    file: 'clementineloft/dist/lib/forwarding/call-placement.js',
+    from: 'if (avoided.size === 0)',
+    to: '',
+    test: 'clementineloft/dist/test/call-placement_test.js'
+  },
+  {
+    mechanism: 'the end of a call lets queued calls be searched for',
+    file: 'clementineloft/dist/lib/forwarding/call-placement.js',
+    from: 'this.directory.recordFreed();',
+    to: '',
+    test: 'clementineloft/dist/test/call-placement_test.js'
+  },
   {
     mechanism: 'events that have left the window are forgotten',
     file: 'routing/dist/lib/calls/sliding-count.js',
