Take unlisted endpoints for lost only once they could be listed again

Cause: entries of the list expire while the store is down. An outage that fits between two answers of a watch goes unnoticed, so that entries removed all lapsed endpoints at once. Ruled out: waiting in the lease alone, since a holder that was cut off has the same incomplete list. Change: a new holder changes no layout for two heartbeats while an assigned endpoint is missing from its list; an answer of the store that removes a tenth of the objects or more, three at least, defers the removals as after an outage.

--- a/packages/coordination/src/lib/kind-replica.ts
+++ b/packages/coordination/src/lib/kind-replica.ts
@@ -7,7 +7,9 @@
  * restarts its watch.
  *
  * While the store does not answer, the replica is retained unchanged, so an outage removes no objects. For a short time
- * after the store has recovered, removals are deferred, since objects that expired during the outage are written again.
+ * after the store has recovered, removals are deferred, since objects that expired during the outage are written again. An
+ * outage that fits between two answers of the store shows only in the removal of many objects at once; these are deferred
+ * as well.
  */
 import { getErrorMessage } from '@clementineloft/kernel'
 import type { Clock, RandomSource } from '@clementineloft/kernel'
@@ -32,6 +34,8 @@
 }
 
 const checksumModulus = 2 ** 31
+/** Minimum fraction and number of objects that one answer removes for the removals to be deferred. */
+const massRemoval = { fraction: 0.1, count: 3 } as const
 
 /** Receives the events of a replica. */
 export interface KindReplicaListener {
@@ -145,9 +149,9 @@
     } while (after !== undefined)
     this.recordResponse()
     if (firstRevision < this.revision) return
-    for (const name of this.objects.keys()) {
-      if (!listed.has(name)) this.removeOrDefer(name)
-    }
+    const missing = [...this.objects.keys()].filter((name) => !listed.has(name))
+    this.checkMassRemoval(missing.length)
+    for (const name of missing) this.removeOrDefer(name)
     for (const object of listed.values()) this.put(object)
     this.revision = firstRevision
     this.isListed = true
@@ -161,6 +165,7 @@
     const { changes, revision } = await this.store.watch(this.kind, this.revision, waitMs, freshness, this.pendingWatch.signal)
     this.recordResponse()
     if (changes === undefined) return false
+    this.checkMassRemoval(changes.filter(({ object, isDeleted }) => isDeleted && this.objects.has(object.name)).length)
     for (const { object, isDeleted } of changes) {
       const held = this.objects.get(object.name)
       if (held !== undefined && held.revision > object.revision) continue
@@ -181,6 +186,12 @@
     this.objects.set(object.name, object)
   }
 
+  /** Defers all removals for a while if one answer removes many objects. */
+  private checkMassRemoval (count: number): void {
+    if (count < massRemoval.count || count < this.objects.size * massRemoval.fraction) return
+    this.deferRemovalsUntilMs = Math.max(this.deferRemovalsUntilMs, this.clock.now() + this.options.deferRemovalsMs)
+  }
+
   private removeOrDefer (name: string): void {
     const deferMs = this.deferRemovalsUntilMs - this.clock.now()
     if (deferMs <= 0) {
--- a/packages/coordination/src/test/kind-replica_test.ts
+++ b/packages/coordination/src/test/kind-replica_test.ts
@@ -105,6 +105,29 @@
   replica.stop()
 })
 
+test('many objects that one answer removes are kept until they could be written again, a few are removed at once', async () => {
+  const store = new ScriptedStore()
+  const clock = new ManualClock()
+  const names = Array.from({ length: 20 }, (_, index) => `e${10 + index}`)
+  for (const name of names) store.put(name, {})
+  const replica = follow(store, clock)
+  await clock.advanceGradually(200, 10)
+  store.areNotificationsDropped = true
+  for (const name of names.slice(0, 12)) store.remove(name)
+  store.areNotificationsDropped = false
+  store.signal()
+  await clock.advanceGradually(1000, 50)
+  assert.deepEqual(listNames(replica), names)
+  for (const name of names.slice(0, 11)) store.put(name, {})
+  await clock.advanceGradually(1500, 50)
+  assert.deepEqual(listNames(replica), names.filter((name) => name !== 'e21'))
+  store.remove('e10')
+  store.remove('e11')
+  await clock.advanceGradually(100, 10)
+  assert.deepEqual(listNames(replica), names.slice(2).filter((name) => name !== 'e21'))
+  replica.stop()
+})
+
 test('when the store no longer retains the history, the kind is listed again and missing objects are removed', async () => {
   const store = new ScriptedStore()
   const clock = new ManualClock()
--- a/packages/routing/src/lib/layers/layout-policy.ts
+++ b/packages/routing/src/lib/layers/layout-policy.ts
@@ -4,6 +4,9 @@
  * Addresses endpoints that crash and restart within seconds: a short absence does not reassign layers, since the endpoint
  * reloads its own layers when it returns. A long absence, an endpoint that leaves or a new endpoint causes an immediate
  * repair. If no replacement arrives, the groups are formed again.
+ *
+ * Also addresses a lease that changes hands after an outage of the store, during which entries of the list have expired:
+ * an endpoint that is assigned layers but not listed yet is no evidence of a loss until it has had time to be listed again.
  */
 import type { CallEndpoint } from '../calls/call-endpoint.js'
 import type { EngineConfig } from '../calls/call-config.js'
@@ -14,6 +17,8 @@
 
 /** Time without new endpoints before the first layout is planned, in milliseconds; equals two heartbeats. */
 const settleTimeMs = 2500
+/** Time from the first observation for which the list may be incomplete, in milliseconds; equals two heartbeats. */
+const listingTimeMs = 2500
 /** Absence after which an endpoint is removed, in milliseconds; longer than a crash followed by a restart. */
 const absenceTimeoutMs = 7000
 /** Time without a change before regrouping, in milliseconds; long enough for a replacement to be listed. */
@@ -34,6 +39,9 @@
   private readonly knownMembers = new Map<string, LayoutMember>()
   private newestMs = -Infinity
   private observedMs = -Infinity
+  private firstObservedMs = Infinity
+  /** Addresses of all endpoints in the last list, whether or not they respond. */
+  private listed: ReadonlySet<string> = new Set()
   /** When an endpoint last joined, left, stopped responding or resumed. */
   private changedMs = -Infinity
   /** Endpoints that responded at the last observation. */
@@ -52,6 +60,8 @@
    */
   observe (endpoints: readonly CallEndpoint[], silent: ReadonlySet<string>, engine: EngineConfig, nowMs: number): void {
     this.observedMs = nowMs
+    this.firstObservedMs = Math.min(this.firstObservedMs, nowMs)
+    this.listed = new Set(endpoints.map((endpoint) => endpoint.address))
     for (const endpoint of endpoints) {
       const type = engine.types.find((other) => other.name === endpoint.type)
       if (type === undefined) continue
@@ -80,7 +90,7 @@
       this.members.delete(address)
     }
     const members = [...this.members.values()]
-    if (members.length === 0) return undefined
+    if (members.length === 0 || this.isListIncomplete(current ?? [], nowMs)) return undefined
     if (current === undefined || current.length === 0) {
       return nowMs - this.newestMs >= settleTimeMs ? planLayout(members, engine) : undefined
     }
@@ -93,6 +103,11 @@
     return this.regroup(current, members, engine, nowMs)
   }
 
+  /** @returns whether an endpoint of the layout is missing from the list, but may only not have been listed again yet */
+  private isListIncomplete (current: readonly LayerAssignment[], nowMs: number): boolean {
+    return nowMs - this.firstObservedMs < listingTimeMs && current.some(({ address }) => !this.listed.has(address))
+  }
+
   /** Records a change if the set of responding endpoints differs from the previous observation. */
   private recordChange (nowMs: number): void {
     const responding = new Set([...this.lastSeenMs].flatMap(([address, seenMs]) => seenMs === nowMs ? [address] : []))
--- a/packages/routing/src/test/layout-policy_test.ts
+++ b/packages/routing/src/test/layout-policy_test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import fc from 'fast-check'
 import { countCopies, LayoutPolicy } from '@clementineloft/routing'
 import type { CallEndpoint, EngineConfig, LayerAssignment } from '@clementineloft/routing'
 import { createEndpoints, createMembers, engine } from './fleet.js'
 
+const seed = 20_261_204
 const members = createMembers()
 const endpoints = createEndpoints(members, [])
 const noneSilent = new Set<string>()
@@ -106,3 +108,49 @@
   const layout = policy.decide(undefined, terms, 5000) as LayerAssignment[]
   assert.deepEqual(listChanges(policy, layout, markLost(list), noneSilent, terms), [6000, 8500])
 })
+
+// While the store is down, entries of the list expire. A lease holder that starts afterwards lists only those that have been
+// written again; the others follow within about two seconds of the store's return.
+test('a new holder that lists only part of the endpoints changes no layout until the others could be listed again', () => {
+  const layout = planFirstLayout(new LayoutPolicy())
+  for (const listed of [0, 1, 19, 32]) {
+    const policy = new LayoutPolicy()
+    for (let nowMs = 0; nowMs < 2500; nowMs += 400) {
+      policy.observe(endpoints.slice(0, listed), noneSilent, engine, nowMs)
+      assert.equal(policy.decide(layout, engine, nowMs), undefined, `${listed} endpoints are listed after ${nowMs} ms`)
+    }
+    policy.observe(endpoints, noneSilent, engine, 2500)
+    assert.equal(policy.decide(layout, engine, 2500), undefined)
+  }
+})
+
+test('a new holder covers endpoints that are not listed within two heartbeats, and those that do not respond at once', () => {
+  const layout = planFirstLayout(new LayoutPolicy())
+  const missing = layout.find((assignment) => assignment.address.startsWith('c-medium')) as LayerAssignment
+  const listed = endpoints.filter((endpoint) => endpoint.address !== missing.address)
+  const late = new LayoutPolicy()
+  late.observe(listed, noneSilent, engine, 0)
+  assert.equal(late.decide(layout, engine, 2400), undefined)
+  late.observe(listed, noneSilent, engine, 2500)
+  assert.notEqual(late.decide(layout, engine, 2500), undefined)
+  const silent = new LayoutPolicy()
+  silent.observe(endpoints, noneSilent, engine, 0)
+  silent.observe(endpoints, new Set([missing.address]), engine, 400)
+  const next = silent.decide(layout, engine, 400) as LayerAssignment[]
+  const group = next.filter((assignment) => assignment.wave === missing.wave && assignment.address !== missing.address)
+  assert.ok(Math.min(...countCopies(group, engine.layers)) >= 1)
+})
+
+test(`no sequence of partial lists within two heartbeats changes the layout of a new holder (seed ${seed})`, () => {
+  const layout = planFirstLayout(new LayoutPolicy())
+  const lists = fc.array(fc.array(fc.nat(endpoints.length - 1), { maxLength: 40 }), { minLength: 1, maxLength: 6 })
+  fc.assert(fc.property(lists, (sequence) => {
+    const policy = new LayoutPolicy()
+    for (const [index, places] of sequence.entries()) {
+      policy.observe(places.map((place) => endpoints[place] as CallEndpoint), noneSilent, engine, index * 400)
+      assert.equal(policy.decide(layout, engine, index * 400), undefined)
+    }
+    policy.observe(endpoints, noneSilent, engine, 2500)
+    assert.equal(policy.decide(layout, engine, 2500), undefined)
+  }), { seed, numRuns: 200 })
+})
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -375,6 +375,20 @@
     to: 'if (false)',
     test: 'routing/dist/test/calls_test.js'
   },
+  {
+    mechanism: 'a new lease holder does not take unlisted endpoints for lost',
+    file: 'routing/dist/lib/layers/layout-policy.js',
+    from: 'nowMs - this.firstObservedMs < listingTimeMs',
+    to: 'false',
+    test: 'routing/dist/test/layout-policy_test.js'
+  },
+  {
+    mechanism: 'many removals at once are deferred',
+    file: 'coordination/dist/lib/kind-replica.js',
+    from: 'count < massRemoval.count',
+    to: 'true',
+    test: 'coordination/dist/test/kind-replica_test.js'
+  },
   {
     mechanism: 'a search that must fail is not repeated',
     file: 'routing/dist/lib/calls/placement-memo.js',
