Believe only answers that belong to the call, and bound bytes without end

Cause, shown by tests: an answer without an identity counted as that of the call, also as a refusal; bytes that arrived on an idle kept connection were taken for the answer to the next call; the body of an error answer and an event without end were collected without a limit, and each piece of an event was joined and searched from its start again. Change: an answer without the call's identity ends the attempt as unknown; a connection on which bytes arrive while it is idle is dropped; an error body has 256 KiB and 0.5 s, an event 256 KiB; the splitter searches each byte once. A head without end is bounded by the HTTP parser, the call is then tried elsewhere if it may run again. Looked for and not possible here: a refused call sent to the same endpoint again (a second copy of the refusal would be believed); endpoints that were tried are avoided, test on the emulated platform. Tests: endpoint-agent, event-splitter (any cut into pieces), answer-relay, platform_test with endless heads and bodies; four mutants.

--- a/packages/clementineloft/src/lib/forwarding/answer-relay.ts
+++ b/packages/clementineloft/src/lib/forwarding/answer-relay.ts
@@ -7,7 +7,10 @@
 import type { EndpointExchange } from './endpoint-exchange.js'
 import { EventSplitter } from './event-splitter.js'
 
-/** Maximum size of a body that is buffered until it is complete, in bytes; a larger one is forwarded as it arrives. */
+/**
+ * Maximum size of a body that is buffered until it is complete, in bytes; a larger one is forwarded as it arrives. Also the
+ * maximum size of the body of an error answer and of one event, since a faulty endpoint may send bytes without end.
+ */
 const maxBufferedBytes = 262_144
 
 /** Receives the progress of an answer. Nothing is called once the attempt has ended. */
@@ -46,13 +49,17 @@
     this.response.on('data', (chunk: Buffer) => {
       if (!this.isCurrent()) return
       const batch = splitter.add(chunk)
+      if (splitter.getIncompleteBytes() > maxBufferedBytes) {
+        listener.handleTruncated(`an event exceeds ${maxBufferedBytes} bytes`)
+        return
+      }
       if (batch === undefined) return
       listener.handleEvents(batch.count, batch.lastId)
       this.write(batch.bytes)
     })
     this.response.on('close', () => {
       if (!this.isCurrent()) return
-      if (this.isComplete() && splitter.getIncompleteEvent().length === 0) listener.handleComplete()
+      if (this.isComplete() && splitter.getIncompleteBytes() === 0) listener.handleComplete()
       else listener.handleTruncated('the stream ended before it was complete')
     })
   }
@@ -75,10 +82,14 @@
    * Reads a body without forwarding it.
    *
    * @param finish - receives the complete body
-   * @param handleTruncated - called if the body ends before it is complete
+   * @param handleTruncated - called if the body ends before it is complete, or exceeds {@link maxBufferedBytes}
    */
   readBody (finish: (body: Buffer) => void, handleTruncated: () => void): void {
-    this.response.on('data', (chunk: Buffer) => { this.appendChunk(chunk) })
+    this.response.on('data', (chunk: Buffer) => {
+      if (!this.isCurrent()) return
+      this.appendChunk(chunk)
+      if (this.bufferedBytes > maxBufferedBytes) handleTruncated()
+    })
     this.response.on('close', () => {
       if (!this.isCurrent()) return
       if (this.isComplete()) finish(Buffer.concat(this.bufferedChunks))
--- a/packages/clementineloft/src/lib/forwarding/call-attempt.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-attempt.ts
@@ -17,6 +17,9 @@
 /** Timeout for setting up a connection to an endpoint, in milliseconds: some hundred round trips. */
 const connectTimeoutMs = 400
 
+/** Timeout for the body of an error answer, in milliseconds; a body that ends late or never holds up the call no longer. */
+const failureBodyTimeoutMs = 500
+
 /** Result of an attempt that ended without a complete answer. */
 export interface AttemptResult {
   end: AttemptEnd
@@ -165,11 +168,17 @@
 
   private readFailure (head: AnswerHead, response: IncomingMessage): void {
     const { endpoint } = this.currentPlacement
+    const endWithoutBody = (): void => { this.end({ end: this.resolveEnd(AttemptEnd.unknown), mayHaveRun: true }) }
+    const timer = this.context.clock.schedule(failureBodyTimeoutMs, endWithoutBody)
     this.createRelay(head, response).readBody((body) => {
+      timer.cancel()
       this.recordFailure(endpoint.id, FailureEvidence.failed)
       this.listener.record('endpoint-failed', { endpoint: endpoint.address, status: head.status })
       this.end({ end: this.resolveEnd(AttemptEnd.failed), mayHaveRun: true, failure: { head, body } })
-    }, () => { this.end({ end: this.resolveEnd(AttemptEnd.unknown), mayHaveRun: true }) })
+    }, () => {
+      timer.cancel()
+      endWithoutBody()
+    })
   }
 
   private forward (head: AnswerHead, response: IncomingMessage): void {
--- a/packages/clementineloft/src/lib/forwarding/call-protocol.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-protocol.ts
@@ -48,7 +48,7 @@
 
 /** Head of an endpoint's answer. */
 export interface AnswerHead extends ForwardedHead {
-  /** Whether the answer carries this call's id or none; false for an answer to another call. */
+  /** Whether the answer carries this call's id; bytes without one are evidence of nothing. */
   isForThisCall: boolean
   /** Whether the endpoint declares that it did not run the call. */
   isNotExecuted: boolean
--- a/packages/clementineloft/src/lib/forwarding/endpoint-exchange.ts
+++ b/packages/clementineloft/src/lib/forwarding/endpoint-exchange.ts
@@ -2,11 +2,12 @@
  * One HTTP request to one endpoint: opens or reuses a connection with a connect timeout, and reports the response head or
  * a failure, including whether the request may have reached the endpoint.
  */
-import { Agent, request as openRequest } from 'node:http'
-import type { ClientRequest, IncomingMessage } from 'node:http'
+import { request as openRequest } from 'node:http'
+import type { Agent, ClientRequest, IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { getErrorMessage } from '@clementineloft/kernel'
 import type { Clock, Timer } from '@clementineloft/kernel'
+import { EndpointAgent } from './endpoint-agent.js'
 
 /** Request to send. */
 export interface ExchangeRequest {
@@ -33,12 +34,9 @@
   handleFailure (wasSent: boolean, reason: string): void
 }
 
-/** Maximum number of idle connections kept to each endpoint. */
-const maxIdleConnections = 8
-
 /** Opens exchanges over a pool of persistent connections. */
 export class EndpointExchanges {
-  private readonly agent = new Agent({ keepAlive: true, maxFreeSockets: maxIdleConnections, scheduling: 'lifo' })
+  private readonly agent = new EndpointAgent()
 
   constructor (private readonly clock: Clock) {}
 
--- a/packages/clementineloft/src/lib/forwarding/event-splitter.ts
+++ b/packages/clementineloft/src/lib/forwarding/event-splitter.ts
@@ -16,42 +16,71 @@
   lastId?: string
 }
 
-/** Buffers the incomplete event at the end of the bytes received so far. */
+/**
+ * Buffers the incomplete event at the end of the bytes received so far. Each byte is searched and copied once, so that an
+ * event that arrives in many small pieces costs no more than one that arrives whole.
+ */
 export class EventSplitter {
-  private pendingBytes: Buffer = Buffer.alloc(0)
+  private pendingChunks: Buffer[] = []
+  private pendingBytes = 0
+  private readonly end = new EventEnd()
 
   /**
    * @param chunk - next bytes of the stream
    * @returns the events that are complete now, or `undefined` if there are none
    */
   add (chunk: Buffer): EventBatch | undefined {
-    const bytes = this.pendingBytes.length === 0 ? chunk : Buffer.concat([this.pendingBytes, chunk])
-    let end = 0
-    let count = 0
-    let lastId: string | undefined
-    for (let eventEnd = findEventEnd(bytes, end); eventEnd !== -1; eventEnd = findEventEnd(bytes, end)) {
-      lastId = findId(bytes.subarray(end, eventEnd)) ?? lastId
-      end = eventEnd
-      count++
+    const events: Buffer[] = []
+    let start = 0
+    for (let position = this.end.find(chunk, 0); position !== -1; position = this.end.find(chunk, position)) {
+      events.push(Buffer.concat([...this.pendingChunks, chunk.subarray(start, position)]))
+      this.pendingChunks = []
+      this.pendingBytes = 0
+      start = position
     }
-    this.pendingBytes = bytes.subarray(end)
-    if (count === 0) return undefined
-    return { bytes: bytes.subarray(0, end), count, ...(lastId === undefined ? {} : { lastId }) }
+    this.keep(chunk.subarray(start))
+    if (events.length === 0) return undefined
+    const lastId = events.map(findId).findLast((id) => id !== undefined)
+    return { bytes: Buffer.concat(events), count: events.length, ...(lastId === undefined ? {} : { lastId }) }
   }
 
-  /** @returns the bytes of the incomplete event; empty if the stream is at an event boundary */
-  getIncompleteEvent (): Buffer {
+  /** @returns number of bytes of the incomplete event; 0 if the stream is at an event boundary */
+  getIncompleteBytes (): number {
     return this.pendingBytes
   }
+
+  private keep (bytes: Buffer): void {
+    if (bytes.length === 0) return
+    this.pendingChunks.push(bytes)
+    this.pendingBytes += bytes.length
+  }
 }
 
-/** @returns the position after the empty line that ends the next event, or -1 if the event is incomplete */
-const findEventEnd = (bytes: Buffer, from: number): number => {
-  for (let position = bytes.indexOf(lineFeed, from); position !== -1; position = bytes.indexOf(lineFeed, position + 1)) {
-    if (bytes[position + 1] === lineFeed) return position + 2
-    if (bytes[position + 1] === carriageReturn && bytes[position + 2] === lineFeed) return position + 3
+/** Finds the empty line that ends an event, across chunks. */
+class EventEnd {
+  /** Whether the bytes so far end with a line feed, with or without a carriage return after it. */
+  private isAtLineStart = false
+  private hasCarriageReturn = false
+
+  /** @returns the position after the next empty line, or -1 if there is none in the rest of the chunk */
+  find (chunk: Buffer, from: number): number {
+    let position = from
+    while (position < chunk.length) {
+      if (!this.isAtLineStart) {
+        const lineEnd = chunk.indexOf(lineFeed, position)
+        if (lineEnd === -1) return -1
+        this.isAtLineStart = true
+        position = lineEnd + 1
+        continue
+      }
+      const byte = chunk[position++]
+      const isEmptyLine = byte === lineFeed
+      this.isAtLineStart = byte === carriageReturn && !this.hasCarriageReturn
+      this.hasCarriageReturn = this.isAtLineStart
+      if (isEmptyLine) return position
+    }
+    return -1
   }
-  return -1
 }
 
 const findId = (event: Buffer): string | undefined => {
--- a/packages/clementineloft/src/test/answer-relay_test.ts
+++ b/packages/clementineloft/src/test/answer-relay_test.ts
@@ -122,3 +122,22 @@
   assert.deepEqual(long.notifications, ['whole'])
   assert.ok(long.caller.writableEnded)
 })
+
+test('an error answer whose body never ends is given up once it exceeds the limit', async () => {
+  const { answer, relay } = createRelay()
+  let truncations = 0
+  relay.readBody(() => { assert.fail('the body is not complete') }, () => { truncations++ })
+  answer.write('x'.repeat(longBytes))
+  await settle()
+  assert.ok(truncations >= 1)
+})
+
+test('a stream whose event never ends is given up once the event exceeds the limit, and nothing of the event is forwarded', async () => {
+  const { answer, caller, relay, notifications, listener } = createRelay()
+  relay.forwardEvents(listener)
+  answer.write('id: 1\ndata: a\n\n')
+  for (let piece = 0; piece < 40; piece++) answer.write('y'.repeat(longBytes / 40))
+  await settle()
+  assert.equal(caller.text, 'id: 1\ndata: a\n\n')
+  assert.deepEqual(notifications.slice(0, 2), ['1 to 1', 'cut'])
+})
--- a/packages/stand-ins/src/emulator/emulated-call.ts
+++ b/packages/stand-ins/src/emulator/emulated-call.ts
@@ -25,7 +25,11 @@
   /** The call is executed and never answered. */
   hang: 'hang',
   /** The call is refused with status 503 as not executed. */
-  full: 'full'
+  full: 'full',
+  /** Header lines without end, until the caller closes. */
+  endlessHead: 'endless-head',
+  /** An error answer whose body never ends, until the caller closes. */
+  endlessFailure: 'endless-failure'
 } as const
 export type AnswerFault = typeof AnswerFault[keyof typeof AnswerFault]
 
--- a/packages/stand-ins/src/emulator/emulated-service.ts
+++ b/packages/stand-ins/src/emulator/emulated-service.ts
@@ -3,6 +3,7 @@
  */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { setTimeout as wait } from 'node:timers/promises'
 import { computeBody, readCall, refuse, AnswerFault } from './emulated-call.js'
 import type { EmulatedCall } from './emulated-call.js'
@@ -17,6 +18,8 @@
   readonly answerFaults: AnswerFault[] = []
   /** Identities of the executed calls, one element for each execution. */
   readonly runs: string[] = []
+  /** Connections on which each call arrived, by identity of the call; one element for each arrival. */
+  readonly connections = new Map<string, Socket[]>()
   private readonly server: Server = createServer((request, response) => { void this.handle(request, response) })
   private running = 0
 
@@ -61,6 +64,7 @@
 
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const call = await readCall(request)
+    this.connections.set(call.id, [...this.connections.get(call.id) ?? [], request.socket])
     if (call.expectedEndpoint !== undefined && call.expectedEndpoint !== this.id) {
       refuse(response, call, misdirectedStatus, { 'Instance-Id': this.id })
       return
@@ -70,6 +74,14 @@
       refuse(response, call, 503)
       return
     }
+    if (answerFault === AnswerFault.endlessHead) {
+      this.writeWithoutEnd(request.socket, 'HTTP/1.1 200 OK\r\n', 'x-filler: 0123456789\r\n')
+      return
+    }
+    if (answerFault === AnswerFault.endlessFailure) {
+      this.writeWithoutEnd(request.socket, `HTTP/1.1 500 Failed\r\nAttempt-Id: ${call.id}\r\n\r\n`, 'x'.repeat(20))
+      return
+    }
     this.runs.push(call.id)
     this.running++
     await wait(processingMs)
@@ -77,6 +89,13 @@
     this.answer(call, response, answerFault)
   }
 
+  /** Writes bytes until the caller closes the connection. */
+  private writeWithoutEnd (socket: Socket, begin: string, piece: string): void {
+    socket.write(begin)
+    const timer = setInterval(() => { socket.write(piece) }, 1)
+    socket.on('close', () => { clearInterval(timer) })
+  }
+
   private answer (call: EmulatedCall, response: ServerResponse, answerFault: AnswerFault): void {
     const body = computeBody(call)
     const headers = { 'Attempt-Id': call.id, 'Server-Signature': this.id, 'Server-Load': `${this.running},0,${this.slots}` }
--- a/packages/stand-ins/src/test/platform_test.ts
+++ b/packages/stand-ins/src/test/platform_test.ts
@@ -303,6 +303,34 @@
   await platform.waitUntilReady()
 })
 
+test('a refused call is not sent to the same endpoint again, so that a second copy of a refusal is evidence for no call', async () => {
+  setAnswerFaults(...Array.from({ length: 6 }, () => AnswerFault.full))
+  const lookUp = await send('/lookups/refused', { method: 'GET' })
+  setAnswerFaults()
+  assert.equal(lookUp.status, 503)
+  const arrivals = platform.services.map((service) => service.connections.get(lookUp.id)?.length ?? 0)
+  assert.ok(Math.max(...arrivals) === 1, `${arrivals.join(' and ')} arrivals`)
+})
+
+test('bytes without end, in a head or in the body of an error, end the attempt and not the call', async () => {
+  for (const answerFault of [AnswerFault.endlessHead, AnswerFault.endlessFailure]) {
+    await wait(2600)
+    // The retry budget of an entry follows its requests.
+    for (let call = 0; call < 60; call++) await send('/lookups/warm', { method: 'GET' })
+    for (const service of platform.services) service.answerFaults.splice(0, Infinity)
+    platform.services[0]?.answerFaults.push(answerFault)
+    const startedMs = Date.now()
+    const lookUps = await Promise.all([0, 1, 2].map(async (call) => await send(`/lookups/${answerFault}-${call}`, { method: 'GET' })))
+    for (const [call, lookUp] of lookUps.entries()) {
+      assert.equal(lookUp.status, 200, answerFault)
+      assert.equal(lookUp.body, computeBody({ method: 'GET', target: `/lookups/${answerFault}-${call}`, body: '' }), answerFault)
+    }
+    assert.ok(Date.now() - startedMs < 1500, `${Date.now() - startedMs} ms`)
+  }
+  setAnswerFaults()
+  await wait(2600)
+})
+
 test('a stopping entry refuses calls that are too late to complete as not executed', async () => {
   platform.workers.forEach((worker) => { worker.eventIntervalMs = 250 })
   const startedMs = performance.now()
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -375,6 +375,34 @@
     to: 'if (false)',
     test: 'routing/dist/test/calls_test.js'
   },
+  {
+    mechanism: 'a connection on which bytes arrive while it is idle is dropped',
+    file: 'clementineloft/dist/lib/forwarding/endpoint-agent.js',
+    from: "socket.on('data', drop);",
+    to: '',
+    test: 'clementineloft/dist/test/endpoint-agent_test.js'
+  },
+  {
+    mechanism: 'an event without end is given up',
+    file: 'clementineloft/dist/lib/forwarding/answer-relay.js',
+    from: 'splitter.getIncompleteBytes() > maxBufferedBytes',
+    to: 'false',
+    test: 'clementineloft/dist/test/answer-relay_test.js'
+  },
+  {
+    mechanism: 'the body of an error answer is bounded',
+    file: 'clementineloft/dist/lib/forwarding/answer-relay.js',
+    from: 'if (this.bufferedBytes > maxBufferedBytes)\n                handleTruncated();',
+    to: '',
+    test: 'clementineloft/dist/test/answer-relay_test.js'
+  },
+  {
+    mechanism: 'an answer without an identity is evidence of nothing',
+    file: '../platform/dist/platform-protocol.js',
+    from: 'isForThisCall: answerCallId === call.id',
+    to: 'isForThisCall: answerCallId === undefined || answerCallId === call.id',
+    test: '../platform/dist/test/platform-protocol_test.js'
+  },
   {
     mechanism: 'a new lease holder does not take unlisted endpoints for lost',
     file: 'routing/dist/lib/layers/layout-policy.js',
