Break the import circle of a call, and split run and host of stages

Change: the context knows calls by the interfaces of running-call; the ports of a stage host, the frames of a run, its choice of endpoints and its probing stand in files of their own (stage-host-ports, stage-sender, stage-picker, stall-probe).

--- a/packages/clementineloft/src/lib/forwarding/call-run.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-run.ts
@@ -6,7 +6,7 @@
 import { createError, ErrorKind } from '@clementineloft/kernel'
 import type { Timer } from '@clementineloft/kernel'
 import { AttemptEnd, canRunAgain, computeRetryDelay, NextStep } from '@clementineloft/routing'
-import type { PathPart, WaitingCall } from '@clementineloft/routing'
+import type { PathPart } from '@clementineloft/routing'
 import { AnswerWriter } from '../callers/answer-writer.js'
 import type { AdmittedCall } from './admitted-call.js'
 import { AttemptHistory } from './attempt-history.js'
@@ -15,13 +15,14 @@
 import type { AttemptResult } from './call-attempt.js'
 import type { Placement } from './call-placement.js'
 import type { ForwardingContext } from './forwarding-context.js'
+import type { RunningCall } from './running-call.js'
 import { StreamFailover } from './stream-failover.js'
 
 /** Maximum time a call is queued, in milliseconds. Callers of streams disconnect after two seconds without an event. */
 const maxQueueTimeMs = 1500
 
 /** State machine of one call. It completes exactly once: with an answer, an error, or the caller's disconnection. */
-export class CallRun implements WaitingCall {
+export class CallRun implements RunningCall {
   readonly rank: number
   readonly team: string
   readonly cost: number
--- a/packages/clementineloft/src/lib/forwarding/forwarding-context.ts
+++ b/packages/clementineloft/src/lib/forwarding/forwarding-context.ts
@@ -7,9 +7,9 @@
 import { CallDirectory } from './call-directory.js'
 import { CallPlacement } from './call-placement.js'
 import type { CallProtocol } from './call-protocol.js'
-import type { CallRun } from './call-run.js'
 import type { PathOrders } from './platform-ports.js'
 import { EndpointExchanges } from './endpoint-exchange.js'
+import type { RunningCall } from './running-call.js'
 
 /** Minimum retry delay sent to a refused caller, in milliseconds. */
 const minRetryAfterMs = 200
@@ -30,9 +30,9 @@
   readonly directory: CallDirectory
   readonly placement: CallPlacement
   readonly exchanges: EndpointExchanges
-  readonly runs = new Set<CallRun>()
+  readonly runs = new Set<RunningCall>()
   /** Queue of calls for which no capacity is free. */
-  readonly waitingCalls: WaitingQueue<CallRun>
+  readonly waitingCalls: WaitingQueue<RunningCall>
   private isResumeScheduled = false
   private lastPassMs = -Infinity
   private checkTimer: NodeJS.Timeout | undefined
@@ -74,7 +74,7 @@
   }
 
   /** Removes a call that has ended. */
-  release (run: CallRun): void {
+  release (run: RunningCall): void {
     this.runs.delete(run)
     this.waitingCalls.remove(run)
     this.resumeWaiting()
--- /dev/null
+++ b/packages/clementineloft/src/lib/forwarding/running-call.ts
@@ -0,0 +1,27 @@
+/**
+ * A call in progress, as the shared context of an entry sees it. The context depends on these interfaces instead of on the
+ * state machine of a call, which depends on the context.
+ */
+import type { CallEndpoint, WaitingCall } from '@clementineloft/routing'
+
+/** Failover of the stream of one call. */
+export interface CallFailover {
+  /** @returns whether the time since the last event exceeds the timeout that applies */
+  isStalled: (nowMs: number) => boolean
+  /** Reroutes a stalled stream around the suspected endpoints, or retries it over another path. */
+  handleStall: () => void
+  /** Reroutes the stream around an endpoint that no longer answers its sidecar. */
+  handleSilentEndpoint: (endpoint: CallEndpoint) => void
+  /** Reroutes the stream around a leaving endpoint. */
+  handleLeavingEndpoint: (endpoint: CallEndpoint) => void
+}
+
+/** A call from its admission to the end of its answer. */
+export interface RunningCall extends WaitingCall {
+  /** `undefined` unless the route serves event streams. */
+  readonly failover: CallFailover | undefined
+  /** Retries placement of a queued call. @returns whether the call was placed and left the queue */
+  startFromQueue: () => boolean
+  /** Ends a queued call whose maximum queue time has passed. */
+  rejectExpired: () => void
+}
--- a/packages/clementineloft/src/lib/forwarding/stream-failover.ts
+++ b/packages/clementineloft/src/lib/forwarding/stream-failover.ts
@@ -14,6 +14,7 @@
 import type { Placement } from './call-placement.js'
 import type { ForwardingContext } from './forwarding-context.js'
 import { PathChangeResult } from './platform-ports.js'
+import type { CallFailover } from './running-call.js'
 
 /** Time without an event after which another path is tried, in milliseconds. */
 const StallTimeoutMs = {
@@ -53,7 +54,7 @@
   parts.some((part) => part.endpoint.id === endpoint.id)
 
 /** Detects the stall of one stream and reroutes it. At most one change of path is in progress at a time. */
-export class StreamFailover {
+export class StreamFailover implements CallFailover {
   private isRerouting = false
   /** Whether the current stall is already in the journal. */
   private isStallRecorded = false
--- a/packages/routing/src/lib/pipeline-run.ts
+++ b/packages/routing/src/lib/pipeline-run.ts
@@ -7,7 +7,7 @@
  */
 import { createError, ErrorKind, Outcome } from '@clementineloft/kernel'
 import type { Clock, Timer } from '@clementineloft/kernel'
-import { computeAlignment, findStuckStage } from './alignment.js'
+import { computeAlignment } from './alignment.js'
 import type { FailedFrame, Frame, RefusedFrame, StatusFrame, TokensFrame } from './frames.js'
 import { LossAction, LossLimit } from './loss-limit.js'
 import type { StageEndpoint } from './model-graph.js'
@@ -16,6 +16,9 @@
 import type { RetryBudget } from './retry-budget.js'
 import { RunInputs } from './run-inputs.js'
 import type { RunListener, RunOptions, RunRequest, StagePort, StageSource } from './run-ports.js'
+import { StagePicker } from './stage-picker.js'
+import { StageSender } from './stage-sender.js'
+import { StallProbe } from './stall-probe.js'
 
 const RunState = {
   opening: 'opening',
@@ -29,25 +32,32 @@
   private state: RunState = RunState.opening
   private attempt = 0
   private pipeline = new Pipeline([], this.attempt)
-  private excludedEndpoints = new Set<string>()
-  private readonly crashedEndpoints = new Set<string>()
+  private readonly picker: StagePicker
+  private readonly stallProbe: StallProbe
+  private readonly sender: StageSender
   private readonly lossLimit: LossLimit
   private readonly inputs = new RunInputs()
   private isPaused = false
   private hasSentInput = false
-  private phaseTimer: Timer | undefined
   private deadlineTimer: Timer | undefined
-  private previousStatuses: StatusFrame[] = []
 
   constructor (
     private readonly request: RunRequest,
-    private readonly source: StageSource,
-    private readonly port: StagePort,
+    source: StageSource,
+    port: StagePort,
     private readonly listener: RunListener,
     private readonly clock: Clock,
     private readonly options: RunOptions,
     private readonly retryBudget: RetryBudget
   ) {
+    this.sender = new StageSender(request, port)
+    this.picker = new StagePicker(source)
+    this.stallProbe = new StallProbe(clock, options, {
+      isPaused: () => this.isPaused,
+      getPipeline: () => this.pipeline,
+      probe: (stage) => { this.sender.probe(stage, this.attempt) },
+      replaceStages: (stages, cause) => { this.replaceStages(stages, cause) }
+    })
     this.lossLimit = new LossLimit(options.maxReplacements, options.maxSilenceMs, clock.now())
   }
 
@@ -59,12 +69,9 @@
         if (!this.isEnded()) this.fail(ErrorKind.deadline, `request did not complete within its deadline of ${deadlineMs} ms`)
       })
     }
-    const endpoints = this.source.pick(this.excludedEndpoints)
-    if (endpoints === undefined) {
-      this.fail(ErrorKind.noCapacity, `no set of available endpoints covers all layers of model "${this.request.model}"`)
-      return
-    }
-    this.beginAttempt(endpoints, false)
+    const endpoints = this.picker.pick([])
+    if (endpoints !== undefined) this.beginAttempt(endpoints, false)
+    else this.fail(ErrorKind.noCapacity, `no set of available endpoints covers all layers of model "${this.request.model}"`)
   }
 
   /** @returns names of the endpoints in the current pipeline */
@@ -124,34 +131,13 @@
   }
 
   private openStages (stages: readonly PipelineStage[], isHeld: boolean): void {
-    const { request, team, model, fingerprint, prompt, deadlineMs } = this.request
-    for (const stage of stages) {
-      const index = this.pipeline.getIndex(stage)
-      const { firstLayer, lastLayer } = stage.endpoint
-      const isEncoder = index === 0 && !this.inputs.hasPrompt()
-      this.port.send(stage.endpoint, {
-        open: {
-          request,
-          attempt: this.attempt,
-          stage: index,
-          team,
-          model,
-          firstLayer,
-          lastLayer,
-          next: this.pipeline.getNextHop(stage) ?? null,
-          prompt: isEncoder ? prompt : '',
-          fingerprint,
-          deadlineMs,
-          isHeld,
-          isSuspect: this.request.isSuspect || this.crashedEndpoints.size > 0
-        }
-      })
-    }
+    const isSuspect = this.request.isSuspect || this.picker.countCrashed() > 0
+    this.sender.open(this.pipeline, stages, this.attempt, { isHeld, needsPrompt: !this.inputs.hasPrompt(), isSuspect })
   }
 
   private waitForAnswers (): void {
     this.state = RunState.opening
-    this.setPhaseTimer(this.options.openTimeoutMs, () => {
+    this.stallProbe.schedule(this.options.openTimeoutMs, () => {
       this.replaceStages(this.pipeline.listUnanswered(), 'no answer to open or reroute before the timeout')
     })
   }
@@ -163,7 +149,7 @@
     if (!this.inputs.hasPrompt()) this.inputs.acceptPrompt(status.promptRows)
     if (!this.pipeline.hasAllAnswers()) return
     if (this.state === RunState.opening) this.continueFromStatuses()
-    else this.evaluateProbe()
+    else this.stallProbe.evaluate()
   }
 
   private continueFromStatuses (): void {
@@ -177,28 +163,20 @@
       return
     }
     this.state = RunState.running
-    if (this.attempt > 1) this.sendForwards(alignment.forwardFrom)
+    if (this.attempt > 1) this.sender.forward(this.pipeline.list(), this.attempt, alignment.forwardFrom)
     this.inputs.resumeFrom(alignment.feedFrom)
     this.feedFirstStage()
-    this.startStallTimer()
-  }
-
-  private sendForwards (forwardFrom: readonly number[]): void {
-    for (const [index, stage] of this.pipeline.list().entries()) {
-      const from = forwardFrom[index] as number
-      this.port.send(stage.endpoint, { forward: { request: this.request.request, attempt: this.attempt, from } })
-    }
+    this.stallProbe.start()
   }
 
   private feedFirstStage (): void {
     if (this.isPaused) return
-    const first = this.pipeline.list()[0]
+    const [first] = this.pipeline.list()
     if (first === undefined) return
     const { position, rows } = this.inputs.takeUnfed()
     if (rows.length === 0) return
-    const step = { request: this.request.request, attempt: this.attempt, stage: 0, position, rows }
     this.hasSentInput = true
-    this.port.send(first.endpoint, { step })
+    this.sender.feed(first, this.attempt, position, rows)
   }
 
   private handleTokens (stage: PipelineStage, frame: TokensFrame): void {
@@ -220,7 +198,7 @@
     }
     if (this.state !== RunState.running) return
     this.feedFirstStage()
-    this.startStallTimer()
+    this.stallProbe.start()
   }
 
   private handleRefused (stage: PipelineStage, frame: RefusedFrame): void {
@@ -240,22 +218,18 @@
     if (frame.attempt < stage.joinedAttempt) return
     const culprit = this.pipeline.find(frame.culprit)
     if (culprit === undefined) return
-    if (frame.kind === ErrorKind.endpointFailed && culprit === stage) this.recordCrash(culprit.endpoint.name)
+    const { name } = culprit.endpoint
+    if (frame.kind === ErrorKind.endpointFailed && culprit === stage && this.picker.recordCrash(name)) this.listener.handleCrash(name)
     this.replaceStages([culprit], frame.message)
   }
 
-  private recordCrash (endpoint: string): void {
-    if (this.crashedEndpoints.has(endpoint)) return
-    this.crashedEndpoints.add(endpoint)
-    this.listener.handleCrash(endpoint)
-  }
-
   private replaceStages (lost: readonly PipelineStage[], cause: string, kind: ErrorKind = ErrorKind.endpointFailed): void {
     if (this.state === RunState.ended || lost.length === 0) return
     this.listener.handleStagesLost(lost.map((stage) => stage.endpoint.name), cause)
     for (const stage of lost) this.abandon(stage)
-    if (this.crashedEndpoints.size >= this.options.maxCrashes) {
-      this.fail(ErrorKind.quarantined, `request quarantined: ${this.crashedEndpoints.size} endpoints crashed while they ran it`)
+    const crashes = this.picker.countCrashed()
+    if (crashes >= this.options.maxCrashes) {
+      this.fail(ErrorKind.quarantined, `request quarantined: ${crashes} endpoints crashed while they ran it`)
       return
     }
     const step = this.lossLimit.recordLoss(this.clock.now())
@@ -267,41 +241,25 @@
       this.restartAfterPause(cause, kind)
       return
     }
-    const endpoints = lost.map((stage) => this.pickReplacement(stage, lost)).filter((endpoint) => endpoint !== undefined)
+    const endpoints = lost.map((stage) => this.picker.pickReplacement(stage, lost)).filter((endpoint) => endpoint !== undefined)
     if (endpoints.length < lost.length) {
       this.restart(cause, kind)
       return
     }
     this.attempt++
     const { added, remaining } = this.pipeline.replace(lost, endpoints, this.attempt)
-    for (const stage of remaining) this.reroute(stage)
+    for (const stage of remaining) this.sender.reroute(this.pipeline, stage, this.attempt)
     this.openStages(added, true)
     this.waitForAnswers()
   }
 
-  /**
-   * Picks an endpoint that this run has not lost; if there is none, one that it lost earlier and that may have recovered.
-   */
-  private pickReplacement (stage: PipelineStage, lost: readonly PipelineStage[]): StageEndpoint | undefined {
-    const knownUnavailable = new Set([...this.crashedEndpoints, ...lost.map((lostStage) => lostStage.endpoint.name)])
-    return this.source.pickReplacement(stage.endpoint, this.excludedEndpoints) ??
-      this.source.pickReplacement(stage.endpoint, knownUnavailable)
-  }
-
-  private reroute (stage: PipelineStage): void {
-    stage.hasAnswered = false
-    const next = this.pipeline.getNextHop(stage) ?? null
-    this.port.send(stage.endpoint, { reroute: { request: this.request.request, attempt: this.attempt, next } })
-  }
-
   /**
    * Restarts on a new pipeline from the prompt and the tokens delivered so far, preferring endpoints that are neither
    * excluded nor part of the old pipeline.
    */
   private restart (cause: string, kind: ErrorKind = ErrorKind.endpointFailed): void {
-    for (const stage of this.pipeline.list()) this.sendClose(stage)
-    const avoided = new Set([...this.excludedEndpoints, ...this.listEndpoints()])
-    const endpoints = this.source.pick(avoided) ?? this.source.pick(this.excludedEndpoints) ?? this.source.pick(this.crashedEndpoints)
+    this.closeStages(this.pipeline.list())
+    const endpoints = this.picker.pick(this.listEndpoints())
     if (endpoints === undefined) {
       this.pipeline = new Pipeline([], this.attempt)
       this.fail(kind === ErrorKind.endpointFailed ? ErrorKind.noCapacity : kind, `no alternative pipeline is available: ${cause}`)
@@ -312,49 +270,19 @@
 
   /** Closes all stages and restarts after a pause, during which lost endpoints can recover. */
   private restartAfterPause (cause: string, kind: ErrorKind): void {
-    for (const stage of this.pipeline.list()) this.sendClose(stage)
+    this.closeStages(this.pipeline.list())
     this.pipeline = new Pipeline([], this.attempt)
-    this.excludedEndpoints = new Set(this.crashedEndpoints)
-    this.setPhaseTimer(this.options.restartPauseMs, () => { this.restart(cause, kind) })
+    this.picker.clearAvoided()
+    this.stallProbe.schedule(this.options.restartPauseMs, () => { this.restart(cause, kind) })
   }
 
   private abandon (stage: PipelineStage): void {
-    this.excludedEndpoints.add(stage.endpoint.name)
-    this.sendClose(stage)
-  }
-
-  private sendClose (stage: PipelineStage): void {
-    this.port.send(stage.endpoint, { close: { request: this.request.request, attempt: this.attempt } })
+    this.picker.avoid(stage.endpoint.name)
+    this.closeStages([stage])
   }
 
-  private startStallTimer (): void {
-    this.previousStatuses = []
-    this.setPhaseTimer(this.options.stallMs, () => { this.probeStages() })
-  }
-
-  private probeStages (): void {
-    if (this.isPaused) {
-      this.startStallTimer()
-      return
-    }
-    for (const stage of this.pipeline.list()) {
-      stage.hasAnswered = false
-      this.port.send(stage.endpoint, { probe: { request: this.request.request, attempt: this.attempt } })
-    }
-    this.setPhaseTimer(this.options.probeTimeoutMs, () => {
-      this.replaceStages(this.pipeline.listUnanswered(), 'no answer to probe before the timeout')
-    })
-  }
-
-  private evaluateProbe (): void {
-    const statuses = this.pipeline.listStatuses()
-    const stuckStage = this.pipeline.list()[findStuckStage(this.previousStatuses, statuses) ?? -1]
-    if (stuckStage !== undefined) {
-      this.replaceStages([stuckStage], 'outputs of the previous stage do not arrive')
-      return
-    }
-    this.previousStatuses = statuses
-    this.setPhaseTimer(this.options.probeTimeoutMs, () => { this.probeStages() })
+  private closeStages (stages: readonly PipelineStage[]): void {
+    this.sender.close(stages.map((stage) => stage.endpoint), this.attempt)
   }
 
   private fail (kind: ErrorKind, message: string): void {
@@ -365,13 +293,8 @@
 
   private end (): void {
     this.state = RunState.ended
-    this.phaseTimer?.cancel()
+    this.stallProbe.cancel()
     this.deadlineTimer?.cancel()
-    for (const stage of this.pipeline.list()) this.sendClose(stage)
-  }
-
-  private setPhaseTimer (delayMs: number, callback: () => void): void {
-    this.phaseTimer?.cancel()
-    this.phaseTimer = this.clock.schedule(delayMs, callback)
+    this.closeStages(this.pipeline.list())
   }
 }
--- a/packages/routing/src/lib/stage-host.ts
+++ b/packages/routing/src/lib/stage-host.ts
@@ -6,62 +6,18 @@
  * entry that drives the request, and keeps outputs so that the entry can replace a neighbouring stage.
  */
 import { ErrorKind, getErrorKind, getErrorMessage } from '@clementineloft/kernel'
-import type { Clock, Journal, Metrics, Timer } from '@clementineloft/kernel'
+import type { Timer } from '@clementineloft/kernel'
 import { AdmissionControl } from './admission-control.js'
-import type { FreeCapacityFactorProvider } from './admission-control.js'
 import { AttemptTombstones } from './attempt-tombstones.js'
-import type { ModelLayers } from './engine-reconciler.js'
 import { EngineExecutor, isEngineCrash } from './engine-executor.js'
-import type { ExecutorOptions } from './engine-executor.js'
 import { EngineHealthMonitor } from './engine-health-monitor.js'
-import type { TeamWeightProvider } from './fair-queue.js'
 import { getFrameRequest } from './frames.js'
-import type { Frame, Hop, OpenFrame, StepFrame, Token } from './frames.js'
+import type { Frame, OpenFrame, StepFrame, Token } from './frames.js'
 import type { ModelEngine } from './model-engine.js'
+import type { StageHostContext, StageHostOptions, StageTransport } from './stage-host-ports.js'
 import { StageSession, StepVerdict } from './stage-session.js'
 import type { OutputBatch, StageOutput } from './stage-session.js'
 
-/** Sends the frames of a {@link StageHost} to entries and to other stages. */
-export abstract class StageTransport {
-  /** Sends a frame to the entry at the other end of a connection; does nothing if the connection is closed. */
-  abstract sendToEntry (connection: string, frame: Frame): void
-  /** Sends a frame to the next stage; a lost connection to it is reported through {@link StageHost.handleHopLost}. */
-  abstract sendToStage (next: Hop, frame: Frame): void
-  /**
-   * Reports to the other instances that the engine crashed while requests with these fingerprints were running.
-   *
-   * @returns a promise that resolves when the report has been delivered, or after a time-out
-   */
-  abstract reportCrash (fingerprints: readonly string[]): Promise<void>
-}
-
-/** Limits of a {@link StageHost}. */
-export interface StageHostOptions extends ExecutorOptions {
-  /** Maximum number of requests held at the same time. */
-  maxSessions: number
-  /** Maximum size of the outputs kept for each request, in bytes. */
-  maxLogBytes: number
-}
-
-/** What a {@link StageHost} needs from its process. */
-export interface StageHostContext {
-  /** Name of the endpoint. */
-  endpoint: string
-  clock: Clock
-  journal: Journal
-  metrics: Metrics
-  getWeight: TeamWeightProvider
-  getFreeCapacityFactor: FreeCapacityFactorProvider
-  /** @returns number of requests that the endpoint may hold within the target for the time between tokens */
-  getCapacity: () => number
-  /** @returns whether the engine has loaded the layers that a request needs */
-  hasLayers: (layers: ModelLayers) => boolean
-  /** @returns whether a request with this fingerprint was running when an engine crashed */
-  isSuspect: (fingerprint: string) => boolean
-  /** @returns whether every endpoint refuses requests with this fingerprint */
-  isQuarantined: (fingerprint: string) => boolean
-}
-
 interface HostedSession {
   session: StageSession
   /** Connection of the entry that drives the request. */
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -91,8 +91,8 @@
   {
     mechanism: 'outputs replayed from the log',
     file: 'routing/dist/lib/pipeline-run.js',
-    from: 'this.sendForwards(alignment.forwardFrom);',
-    to: 'this.sendForwards(alignment.forwardFrom.map((from) => from + 1));',
+    from: 'this.sender.forward(this.pipeline.list(), this.attempt, alignment.forwardFrom);',
+    to: 'this.sender.forward(this.pipeline.list(), this.attempt, alignment.forwardFrom.map((from) => from + 1));',
     test: 'routing/dist/test/pipeline-run_property_test.js'
   },
   {
@@ -111,8 +111,8 @@
   },
   {
     mechanism: 'unresponsive stages probed',
-    file: 'routing/dist/lib/pipeline-run.js',
-    from: 'this.setPhaseTimer(this.options.stallMs, () => { this.probeStages(); });',
+    file: 'routing/dist/lib/stall-probe.js',
+    from: 'this.schedule(this.options.stallMs, () => { this.probeStages(); });',
     to: '',
     test: 'routing/dist/test/pipeline-run_property_test.js'
   },
@@ -265,7 +265,7 @@
   },
   {
     mechanism: 'previously lost endpoints reused',
-    file: 'routing/dist/lib/pipeline-run.js',
+    file: 'routing/dist/lib/stage-picker.js',
     from: 'this.source.pickReplacement(stage.endpoint, knownUnavailable)',
     to: 'undefined',
     test: 'routing/dist/test/pipeline-run_test.js'
@@ -294,8 +294,8 @@
   {
     mechanism: 'pause before a run restarts',
     file: 'routing/dist/lib/pipeline-run.js',
-    from: 'this.setPhaseTimer(this.options.restartPauseMs,',
-    to: 'this.setPhaseTimer(0,',
+    from: 'this.stallProbe.schedule(this.options.restartPauseMs,',
+    to: 'this.stallProbe.schedule(0,',
     test: 'routing/dist/test/pipeline-run_test.js'
   },
   {
@@ -343,7 +343,7 @@
   {
     mechanism: 'streams that end in the middle of an event are taken as truncated',
     file: 'clementineloft/dist/lib/forwarding/answer-relay.js',
-    from: '&& splitter.getIncompleteEvent().length === 0',
+    from: '&& splitter.getIncompleteBytes() === 0',
     to: '',
     test: 'clementineloft/dist/test/answer-relay_test.js'
   },
