Keep running streams of an endpoint that is only slow to report

Cause (read, then shown by a test): as soon as a sidecar got no answer from its endpoint twice within 300 ms, every entry started the streams through it again elsewhere, also while their events arrived. Change: streams move once no stream of the entry has advanced through the endpoint for 100 ms; checked again while the silence lasts. A crashed endpoint advances none, so that its streams move 0.1 s later at the most. Tests: stream-failover_test, a mutant.

--- a/packages/clementineloft/src/lib/forwarding/stream-failover.ts
+++ b/packages/clementineloft/src/lib/forwarding/stream-failover.ts
@@ -33,6 +33,12 @@
  */
 const leavingRerouteSpreadMs = 1200
 
+/**
+ * Time for which an endpoint that does not answer its sidecar keeps its streams after one of them has advanced, in
+ * milliseconds: a few events, so that an endpoint that is only slow to report loses none.
+ */
+const silentProgressMs = 100
+
 /** A running stream, as seen by its failover. */
 export interface RunningStream {
   /** Identity of the call. */
@@ -95,10 +101,17 @@
     void this.rerouteAround(suspects, 'no event arrived within the stall timeout', isTimeoutExceeded)
   }
 
-  /** Reroutes the stream around an endpoint that no longer answers its sidecar. */
+  /** Reroutes the stream around an endpoint that does not answer its sidecar, as soon as no stream advances through it. */
   handleSilentEndpoint (endpoint: CallEndpoint): void {
     const parts = this.stream.getPlacement()?.parts
     if (parts === undefined || !hasEndpoint(parts, endpoint)) return
+    const { clock, directory } = this.context
+    if (directory.progress.hasAdvanced(endpoint.id, silentProgressMs)) {
+      clock.schedule(silentProgressMs, () => {
+        if (directory.isSilent(endpoint)) this.handleSilentEndpoint(endpoint)
+      })
+      return
+    }
     if (parts[0]?.endpoint.id === endpoint.id) this.stream.abandonPath('the first endpoint does not answer its sidecar')
     else void this.rerouteAround([endpoint], 'the endpoint does not answer its sidecar', false)
   }
--- a/packages/routing/src/lib/calls/stream-progress.ts
+++ b/packages/routing/src/lib/calls/stream-progress.ts
@@ -22,6 +22,11 @@
     for (const { endpoint } of parts) this.lastProgressMs.set(endpoint.id, nowMs)
   }
 
+  /** @returns whether a stream through the endpoint has advanced in the last `durationMs` milliseconds */
+  hasAdvanced (id: string, durationMs: number): boolean {
+    return this.clock.now() - (this.lastProgressMs.get(id) ?? -Infinity) < durationMs
+  }
+
   /** @returns the parts of a stalled stream through which no other stream has advanced recently */
   listSuspects (parts: readonly PathPart[]): PathPart[] {
     const sinceMs = this.clock.now() - progressTimeoutMs
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -403,6 +403,13 @@
     to: 'isForThisCall: answerCallId === undefined || answerCallId === call.id',
     test: '../platform/dist/test/platform-protocol_test.js'
   },
+  {
+    mechanism: 'an endpoint that is only slow to report keeps its running streams',
+    file: 'clementineloft/dist/lib/forwarding/stream-failover.js',
+    from: 'directory.progress.hasAdvanced(endpoint.id, silentProgressMs)',
+    to: 'false',
+    test: 'clementineloft/dist/test/stream-failover_test.js'
+  },
   {
     mechanism: 'a new lease holder does not take unlisted endpoints for lost',
     file: 'routing/dist/lib/layers/layout-policy.js',
