Check every field of an endpoint's report

Cause (read, then shown by a test): a report with a field of another type became NaN on its way to the entries, where it spreads through the costs of every path over that endpoint; a report that is no object was caught further up.

--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -410,6 +410,13 @@
     to: 'false',
     test: 'clementineloft/dist/test/stream-failover_test.js'
   },
+  {
+    mechanism: 'malformed reports of endpoints are refused',
+    file: '../platform/dist/platform-engine.js',
+    from: "typeof value === 'number' && Number.isFinite(value) && value >= 0",
+    to: 'true',
+    test: '../platform/dist/test/platform-engine_test.js'
+  },
   {
     mechanism: 'a new lease holder does not take unlisted endpoints for lost',
     file: 'routing/dist/lib/layers/layout-policy.js',
