Use listed layers at once again

After all instances had lost power, calls then waited 1.5 s and were refused while endpoints loaded.

--- a/packages/clementineloft/src/lib/forwarding/call-directory.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-directory.ts
@@ -9,13 +9,6 @@
 /** Time for which a sidecar's report of a silent endpoint stays valid, in milliseconds. */
 const silenceTtlMs = 2500
 
-/**
- * Time for which the layers of a newly listed endpoint wait for a report that confirms them, in milliseconds. After a loss
- * of power the list still names layers that restarted endpoints no longer hold; each call sent there would be refused. An
- * endpoint whose sidecar does not report is used as listed afterwards.
- */
-const confirmationTimeoutMs = 2500
-
 /** Endpoints by service and address, with their load and health. */
 export class CallDirectory {
   readonly loads = new LoadTable()
@@ -26,8 +19,6 @@
   private readonly endpointsByAddress = new Map<string, CallEndpoint>()
   /** When a sidecar last reported that its endpoint does not answer, by endpoint id, in milliseconds of the clock. */
   private readonly silentReportMs = new Map<string, number>()
-  /** When an endpoint was listed for the first time, by endpoint id, in milliseconds of the clock. */
-  private readonly firstListedMs = new Map<string, number>()
   private readonly services = new Map<string, CallService>()
   private capacityVersion = 0
 
@@ -50,7 +41,6 @@
     const ids = new Set<string>()
     for (const endpoint of endpoints) {
       ids.add(endpoint.id)
-      if (!this.firstListedMs.has(endpoint.id)) this.firstListedMs.set(endpoint.id, this.clock.now())
       if (endpoint.isLeaving) continue
       this.endpointsByAddress.set(endpoint.address, endpoint)
       const serviceEndpoints = this.endpointsByService.get(endpoint.service)
@@ -65,9 +55,6 @@
     for (const id of this.silentReportMs.keys()) {
       if (!ids.has(id)) this.silentReportMs.delete(id)
     }
-    for (const id of this.firstListedMs.keys()) {
-      if (!ids.has(id)) this.firstListedMs.delete(id)
-    }
     return previousEndpoints.filter((endpoint) => this.endpointsByAddress.get(endpoint.address)?.id !== endpoint.id)
   }
 
@@ -103,15 +90,10 @@
     return this.capacityVersion
   }
 
-  /**
-   * @returns the layers that an endpoint holds, from its sidecar's latest report or otherwise from the list; `undefined` if
-   *   it holds none, or was listed only now and has not been reported on yet
-   */
+  /** @returns the layers that an endpoint holds, from its sidecar's latest report or otherwise from the list */
   findLayers (endpoint: CallEndpoint): LayerSpan | undefined {
     const report = this.costs.findReport(endpoint.id)
-    if (report !== undefined) return report.layers
-    const listedMs = this.firstListedMs.get(endpoint.id) ?? -Infinity
-    return this.clock.now() - listedMs < confirmationTimeoutMs ? undefined : endpoint.layers
+    return report === undefined ? endpoint.layers : report.layers
   }
 
   /** @returns whether the endpoint's sidecar has recently reported that it gets no answer */
