Record with each lost endpoint the content of the call and how far its answer had come

Needed to tell the hypotheses on calls that crash endpoints apart (docs/incidents/crashing-calls.md): a call was known by its identity alone, which each repeat of the caller changes, and no line said whether the endpoint had begun to answer. `endpoint-lost` and `answer-cut` now carry a fingerprint of team and content and the progress of the answer (none, head, events), and `attempts_lost_total` counts losses by it. No decision depends on them.

--- a/packages/clementineloft/src/lib/forwarding/admitted-call.ts
+++ b/packages/clementineloft/src/lib/forwarding/admitted-call.ts
@@ -13,6 +13,8 @@
   /** Priority rank of the team or route; 0 is the most urgent. */
   rank: number
   body: Buffer
+  /** Digest of team and content, the same for every repeat of the caller. */
+  fingerprint: string
   /** When the caller's request arrived, in milliseconds of the clock. */
   arrivedMs: number
 }
--- a/packages/clementineloft/src/lib/forwarding/call-attempt.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-attempt.ts
@@ -50,6 +50,15 @@
   lastEventId?: string
 }
 
+/** How far the answer of an attempt has come. */
+const AnswerProgress = {
+  none: 'none',
+  /** The endpoint has begun to answer, and no event is complete. */
+  head: 'head',
+  events: 'events'
+} as const
+type AnswerProgress = typeof AnswerProgress[keyof typeof AnswerProgress]
+
 /** @returns the path of a call as text for the journal */
 const describePath = ({ endpoint, parts }: Placement): string =>
   parts?.map((part) => `${part.endpoint.address}=${part.from}-${part.to}`).join(' ') ?? endpoint.address
@@ -59,6 +68,7 @@
   private currentPlacement: Placement
   private readonly exchange: EndpointExchange
   private isFinished = false
+  private progress: AnswerProgress = AnswerProgress.none
 
   constructor (
     private readonly context: ForwardingContext,
@@ -131,7 +141,7 @@
     if (this.isFinished) return
     const { endpoint } = this.currentPlacement
     this.recordFailure(endpoint.id, FailureEvidence.lost)
-    this.listener.record('endpoint-lost', { endpoint: endpoint.address, wasSent, reason })
+    this.recordLoss('endpoint-lost', reason, wasSent)
     this.end({ end: wasSent ? AttemptEnd.unknown : AttemptEnd.notRun, mayHaveRun: wasSent })
   }
 
@@ -182,6 +192,7 @@
   }
 
   private forward (head: AnswerHead, response: IncomingMessage): void {
+    this.progress = AnswerProgress.head
     const relay = this.createRelay(head, response)
     const listener = {
       handleEvents: (count: number, lastId: string | undefined) => { this.recordEvents(count, lastId) },
@@ -198,15 +209,24 @@
 
   private recordEvents (count: number, lastId: string | undefined): void {
     const { parts } = this.currentPlacement
+    this.progress = AnswerProgress.events
     if (parts !== undefined) this.context.directory.progress.record(parts)
     this.listener.handleEvents(count, lastId)
   }
 
   private handleTruncated (reason: string): void {
-    this.listener.record('answer-cut', { endpoint: this.currentPlacement.endpoint.address, reason })
+    this.recordLoss('answer-cut', reason, true)
     this.end({ end: this.resolveEnd(AttemptEnd.unknown), mayHaveRun: true })
   }
 
+  /** Records that the endpoint was lost, and which content it had at that time. */
+  private recordLoss (name: string, reason: string, wasSent: boolean): void {
+    const { progress } = this
+    const { address } = this.currentPlacement.endpoint
+    this.context.metrics.count(`attempts_lost_total{answer="${progress}"}`)
+    this.listener.record(name, { endpoint: address, wasSent, reason, answer: progress, fingerprint: this.admittedCall.fingerprint })
+  }
+
   /** @returns `AttemptEnd.cut` if the caller already has part of the answer, otherwise `end` */
   private resolveEnd (end: AttemptEnd): AttemptEnd {
     return this.writer.hasBegun() ? AttemptEnd.cut : end
--- a/packages/clementineloft/src/lib/forwarding/forwarding-host.ts
+++ b/packages/clementineloft/src/lib/forwarding/forwarding-host.ts
@@ -6,6 +6,7 @@
 import type { RouteTable } from '@clementineloft/routing'
 import { CallHost } from '../callers/call-host.js'
 import type { AcceptedCall } from '../callers/call-host.js'
+import { computeCallFingerprint } from './call-fingerprint.js'
 import type { ForwardedCall } from './call-protocol.js'
 import { CallRun } from './call-run.js'
 import type { ForwardingContext } from './forwarding-context.js'
@@ -45,7 +46,8 @@
       start: (body, _request, response) => {
         const service = context.placement.pickService(route)
         if (service === undefined) throw createError(ErrorKind.noCapacity, `route "${route.name}" has no target service`)
-        const run = new CallRun(context, { call, route, service, rank, body, arrivedMs, ...(team === undefined ? {} : { team: team.name }) }, response)
+        const fingerprint = computeCallFingerprint(call, team?.name, body)
+        const run = new CallRun(context, { call, route, service, rank, body, fingerprint, arrivedMs, ...(team === undefined ? {} : { team: team.name }) }, response)
         context.runs.add(run)
         run.start()
       }
