--- a/packages/stand-ins/src/emulator/emulated-call.ts
+++ b/packages/stand-ins/src/emulator/emulated-call.ts
@@ -44,6 +44,28 @@
   expectedEndpoint: string | undefined
 }
 
+/** Calls that crash every endpoint that begins to answer them. */
+export class CrashTriggers {
+  /** Bodies of such calls. */
+  readonly bodies = new Set<string>()
+  /** Time from a crash to the start of the next incarnation, in milliseconds. */
+  restartMs = 1000
+  /** Whether the platform has stopped, so that no endpoint starts again. */
+  isStopped = false
+
+  /** @returns whether the call crashes the endpoint that begins to answer it */
+  isTriggeredBy (call: EmulatedCall): boolean {
+    return this.bodies.has(call.body)
+  }
+
+  /** Schedules the next incarnation of an endpoint that has crashed. */
+  scheduleRestart (start: () => Promise<void>): void {
+    setTimeout(() => {
+      if (!this.isStopped) void start()
+    }, this.restartMs).unref()
+  }
+}
+
 /** Reads the header and the complete body of a call. */
 export const readCall = async (request: IncomingMessage): Promise<EmulatedCall> => {
   const chunks: Buffer[] = []
--- a/packages/stand-ins/src/emulator/emulated-platform.ts
+++ b/packages/stand-ins/src/emulator/emulated-platform.ts
@@ -80,7 +80,7 @@
       await this.startProcess(`sidecar-${index + 1}`, 'sidecar', worker.host, worker.getAddress())
     }
     for (let index = 0; index < services; index++) {
-      const service = new EmulatedService(`desk-${index + 1}`, 'desk', `${network}.3.${index + 1}`, endpointPort, `zone-${index % 2}`, this.store, this.startRelay(`${network}.3.${index + 1}`, `${network}.5.${index + 1}`))
+      const service = new EmulatedService(`desk-${index + 1}`, 'desk', `${network}.3.${index + 1}`, endpointPort, `zone-${index % 2}`, this.store, this.fleet.crashTriggers, this.startRelay(`${network}.3.${index + 1}`, `${network}.5.${index + 1}`))
       this.services.push(service)
       await service.start()
     }
@@ -90,6 +90,7 @@
 
   /** Kills all processes and stops all emulators. */
   async stop (): Promise<void> {
+    this.fleet.crashTriggers.isStopped = true
     await this.processes.killAll()
     this.store.stop()
     for (const worker of this.workers) worker.crash(0)
--- a/packages/stand-ins/src/emulator/emulated-service.ts
+++ b/packages/stand-ins/src/emulator/emulated-service.ts
@@ -6,7 +6,7 @@
 import type { Socket } from 'node:net'
 import { setTimeout as wait } from 'node:timers/promises'
 import { computeBody, readCall, refuse, AnswerFault } from './emulated-call.js'
-import type { EmulatedCall } from './emulated-call.js'
+import type { CrashTriggers, EmulatedCall } from './emulated-call.js'
 import type { EmulatedStore } from './emulated-store.js'
 
 const processingMs = 10
@@ -22,6 +22,7 @@
   readonly connections = new Map<string, Socket[]>()
   private readonly server: Server = createServer((request, response) => { void this.handle(request, response) })
   private running = 0
+  private born = 1
 
   constructor (
     readonly id: string,
@@ -30,6 +31,7 @@
     readonly port: number,
     readonly dataCentre: string,
     private readonly store: EmulatedStore,
+    private readonly crashTriggers: CrashTriggers,
     /** Host to listen on, if a relay in front of it uses {@link host}. */
     private readonly listenHost = host,
     private readonly slots = 6
@@ -52,7 +54,7 @@
       phase,
       coldLeftMs: 0,
       sequence: 0,
-      born: 1
+      born: this.born
     })
   }
 
@@ -62,6 +64,14 @@
     this.server.closeAllConnections()
   }
 
+  private crashAndRestart (): void {
+    this.crash()
+    this.crashTriggers.scheduleRestart(async () => {
+      this.born = Date.now()
+      await this.start()
+    })
+  }
+
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const call = await readCall(request)
     this.connections.set(call.id, [...this.connections.get(call.id) ?? [], request.socket])
@@ -86,6 +96,10 @@
     this.running++
     await wait(processingMs)
     this.running--
+    if (this.crashTriggers.isTriggeredBy(call)) {
+      this.crashAndRestart()
+      return
+    }
     this.answer(call, response, answerFault)
   }
 
--- a/packages/stand-ins/src/emulator/emulated-worker.ts
+++ b/packages/stand-ins/src/emulator/emulated-worker.ts
@@ -4,7 +4,7 @@
  */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { computeEvent, readCall, refuse } from './emulated-call.js'
+import { computeEvent, CrashTriggers, readCall, refuse } from './emulated-call.js'
 import type { EmulatedCall } from './emulated-call.js'
 import type { EmulatedStore } from './emulated-store.js'
 
@@ -44,6 +44,7 @@
 /** All model endpoints by address, through which an endpoint checks the parts of a path. */
 export class EmulatedFleet {
   readonly workers = new Map<string, EmulatedWorker>()
+  readonly crashTriggers = new CrashTriggers()
   /** Calls that produced an event on a path that does not contain every layer exactly once and in order. */
   readonly invalidPathCallIds: string[] = []
 }
@@ -138,6 +139,11 @@
     setTimeout(() => { this.store.remove('servers', id) }, removeAfterMs).unref()
   }
 
+  private crashAndRestart (): void {
+    this.crash()
+    this.fleet.crashTriggers.scheduleRestart(async () => { await this.start() })
+  }
+
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const call = await readCall(request)
     if (this.isSilent) return
@@ -224,6 +230,11 @@
         return
       }
       if (this.isSilent || this.isEmissionPaused || this.isStalled(stream, response)) return
+      if (this.fleet.crashTriggers.isTriggeredBy(call)) {
+        clearInterval(timer)
+        this.crashAndRestart()
+        return
+      }
       if (!isCompletePath(stream.parts)) this.fleet.invalidPathCallIds.push(call.id)
       position++
       response.write(computeEvent(call, position))
