Refuse a call that crashes endpoints at every entry, whatever its identity

What callers saw: a call that crashes whoever runs it took one endpoint after the other, as long as its caller repeated it; sound calls of the same team found no endpoint (BUDGET, and 503 for others).

Cause: knowledge of crashes ended with the attempt. An entry knew a call by its identity, which each repeat changes, blamed the endpoint alone and picked the next sound one. The quarantine of the product's own engines (CrashRegister) was not wired to forwarded calls. Class of fault: state that a decision needs is kept in a scope smaller than the trouble (attempt and entry instead of content and fleet).

Evidence: one fingerprint was lost 17 times under 14 identities at 3 entries and 6 endpoints; no identity at more endpoints than allowed (docs/incidents/crashing-calls.md). So it is not the limit within one attempt; the comment there now says what the code does, which counts endpoints that have ended too.

Why this works: an entry that loses a call before its first event asks the endpoint's address for a connection. If it is refused, the endpoint has ended, and the crash is held against the fingerprint of team and content; a reset or a lost answer of a running endpoint is not. Two crashes with separate causes (a repeat sent after the first, or not at the same moment) quarantine the call: refused before it is sent, queued ones too, attempts in progress cancelled. Entries tell each other through sidecars by datagrams, at once and then in turn with every report, so that it works with the store down, with sidecars cut off, and for entries that start later. An answer clears a call, also at other entries, and crashes within 10 s of it are not counted, so that many sound calls with the same content are safe.

--- a/packages/clementineloft/src/lib/forwarding/call-attempt.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-attempt.ts
@@ -69,6 +69,8 @@
   private readonly exchange: EndpointExchange
   private isFinished = false
   private progress: AnswerProgress = AnswerProgress.none
+  /** When the call was sent, in milliseconds of the clock. */
+  private readonly sentMs: number
 
   constructor (
     private readonly context: ForwardingContext,
@@ -78,6 +80,7 @@
     private readonly listener: AttemptListener
   ) {
     this.currentPlacement = start.placement
+    this.sentMs = context.clock.now()
     context.placement.recordStart(start.placement)
     this.exchange = this.open(start)
   }
@@ -109,6 +112,7 @@
     this.isFinished = true
     this.context.placement.recordEnd(this.currentPlacement)
     this.context.directory.health.recordSuccess(this.currentPlacement.endpoint.id)
+    this.context.crashes.recordAnswer(this.admittedCall.fingerprint)
   }
 
   private open ({ placement, remainingMs, lastEventId }: AttemptStart): EndpointExchange {
@@ -141,6 +145,7 @@
     if (this.isFinished) return
     const { endpoint } = this.currentPlacement
     this.recordFailure(endpoint.id, FailureEvidence.lost)
+    if (wasSent) this.recordPossibleCrash()
     this.recordLoss('endpoint-lost', reason, wasSent)
     this.end({ end: wasSent ? AttemptEnd.unknown : AttemptEnd.notRun, mayHaveRun: wasSent })
   }
@@ -182,6 +187,7 @@
     const timer = this.context.clock.schedule(failureBodyTimeoutMs, endWithoutBody)
     this.createRelay(head, response).readBody((body) => {
       timer.cancel()
+      this.context.crashes.recordAnswer(this.admittedCall.fingerprint)
       this.recordFailure(endpoint.id, FailureEvidence.failed)
       this.listener.record('endpoint-failed', { endpoint: endpoint.address, status: head.status })
       this.end({ end: this.resolveEnd(AttemptEnd.failed), mayHaveRun: true, failure: { head, body } })
@@ -209,6 +215,7 @@
 
   private recordEvents (count: number, lastId: string | undefined): void {
     const { parts } = this.currentPlacement
+    if (this.progress !== AnswerProgress.events) this.context.crashes.recordAnswer(this.admittedCall.fingerprint)
     this.progress = AnswerProgress.events
     if (parts !== undefined) this.context.directory.progress.record(parts)
     this.listener.handleEvents(count, lastId)
@@ -216,9 +223,16 @@
 
   private handleTruncated (reason: string): void {
     this.recordLoss('answer-cut', reason, true)
+    this.recordPossibleCrash()
     this.end({ end: this.resolveEnd(AttemptEnd.unknown), mayHaveRun: true })
   }
 
+  /** Holds the loss of the endpoint against the call, unless the call had already produced events there. */
+  private recordPossibleCrash (): void {
+    if (this.progress === AnswerProgress.events) return
+    void this.context.crashes.recordLoss(this.admittedCall.fingerprint, this.currentPlacement.endpoint, this.sentMs)
+  }
+
   /** Records that the endpoint was lost, and which content it had at that time. */
   private recordLoss (name: string, reason: string, wasSent: boolean): void {
     const { progress } = this
--- a/packages/clementineloft/src/lib/forwarding/call-run.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-run.ts
@@ -5,7 +5,7 @@
 import type { ServerResponse } from 'node:http'
 import { createError, ErrorKind } from '@clementineloft/kernel'
 import type { Timer } from '@clementineloft/kernel'
-import { AttemptEnd, canRunAgain, computeRetryDelay, NextStep } from '@clementineloft/routing'
+import { AttemptEnd, canRunAgain, computeRetryDelay, crashRetentionMs, NextStep } from '@clementineloft/routing'
 import type { PathPart } from '@clementineloft/routing'
 import { AnswerWriter } from '../callers/answer-writer.js'
 import type { AdmittedCall } from './admitted-call.js'
@@ -79,6 +79,13 @@
     return true
   }
 
+  /** Ends the call if it has this fingerprint, which has been quarantined, and has not been answered. */
+  handleQuarantine (fingerprint: string): void {
+    if (this.isFinished || fingerprint !== this.admittedCall.fingerprint || this.events > 0) return
+    if (this.attempt !== undefined) this.attemptHistory.hasMaybeRun = true
+    this.finishQuarantined()
+  }
+
   /** Ends a queued call whose maximum queue time has passed. */
   rejectExpired (): void {
     this.finishUnplaced('no capacity became free within the queue time limit')
@@ -122,7 +129,11 @@
   }
 
   private sendOrEnqueue (): void {
-    const { call, service } = this.admittedCall
+    const { call, service, fingerprint } = this.admittedCall
+    if (this.context.crashes.isQuarantined(fingerprint)) {
+      this.finishQuarantined()
+      return
+    }
     const placement = this.context.placement.find(service, call.size, this.attemptHistory.triedEndpointIds)
     if (placement !== undefined) {
       this.sendTo(placement)
@@ -187,6 +198,13 @@
     this.finish(this.attemptHistory.chooseFinalStep(this.writer.hasBegun()), reason)
   }
 
+  private finishQuarantined (): void {
+    const reason = 'a call with the same team and content has crashed several endpoints; change it before a retry'
+    const step = this.attemptHistory.chooseFinalStep(this.writer.hasBegun())
+    if (step === NextStep.refuse) this.sendError(ErrorKind.quarantined, reason)
+    else this.finish(step, reason)
+  }
+
   private finish (step: FinalStep, reason: string): void {
     if (step === NextStep.cutOff || this.writer.hasBegun()) {
       this.complete(() => { this.writer.cutOff() }, 'cut')
@@ -209,7 +227,8 @@
       isCoverageMissing: this.isServiceUnavailable,
       waitMs: this.context.waitingCalls.estimateWait(this.rank)
     }
-    const answer = protocol.createAnswer(call, createError(kind, reason), computeRetryDelay(state, this.context.random))
+    const retryAfterMs = kind === ErrorKind.quarantined ? crashRetentionMs : computeRetryDelay(state, this.context.random)
+    const answer = protocol.createAnswer(call, createError(kind, reason), retryAfterMs)
     this.complete(() => { this.writer.sendLocalAnswer(answer, false) }, kind)
   }
 
--- a/packages/clementineloft/src/lib/forwarding/forwarding-context.ts
+++ b/packages/clementineloft/src/lib/forwarding/forwarding-context.ts
@@ -7,6 +7,7 @@
 import { CallDirectory } from './call-directory.js'
 import { CallPlacement } from './call-placement.js'
 import type { CallProtocol } from './call-protocol.js'
+import { CrashMonitor } from './crash-monitor.js'
 import type { PathOrders } from './platform-ports.js'
 import { EndpointExchanges } from './endpoint-exchange.js'
 import type { RunningCall } from './running-call.js'
@@ -30,6 +31,7 @@
   readonly directory: CallDirectory
   readonly placement: CallPlacement
   readonly exchanges: EndpointExchanges
+  readonly crashes: CrashMonitor
   readonly runs = new Set<RunningCall>()
   /** Queue of calls for which no capacity is free. */
   readonly waitingCalls: WaitingQueue<RunningCall>
@@ -55,6 +57,7 @@
     this.directory = new CallDirectory(clock)
     this.placement = new CallPlacement(this.directory, dataCentre, random, clock)
     this.exchanges = new EndpointExchanges(clock)
+    this.crashes = new CrashMonitor(clock, journal, metrics)
     this.waitingCalls = new WaitingQueue(clock)
     metrics.registerGauge('calls_in_flight', () => this.runs.size)
   }
--- a/packages/clementineloft/src/lib/forwarding/forwarding-entry.ts
+++ b/packages/clementineloft/src/lib/forwarding/forwarding-entry.ts
@@ -10,6 +10,7 @@
 import type { ForwardingEntrySettings } from './forwarding-settings.js'
 import type { PlatformPorts } from './platform-ports.js'
 import { ForwardingProcess } from './forwarding-process.js'
+import { NoticeBatcher } from './notice-batcher.js'
 import { ReportReceiver } from './report-datagrams.js'
 import type { ReportMessage } from './report-codec.js'
 
@@ -20,6 +21,8 @@
  * second apart, before it stops sending them.
  */
 const acceptWhileLeavingMs = 2500
+/** Number of notices of crashes with each report request; successive requests go through all of them. */
+const maxNoticesPerRequest = 1
 /** Fraction of the grace period after which connections are closed even if calls are still running. */
 const drainGraceRatio = 0.9
 const drainPollIntervalMs = 50
@@ -50,14 +53,22 @@
   let hasConfig = false
   const [, reportsPort] = settings.instance.reports_address.split(':') as [string, string]
   const reports = new ReportReceiver(
-    settings.instance.reports_address, () => context.directory.listEngineAddresses().map((address) => ({ address })), Number(reportsPort),
+    settings.instance.reports_address, () => context.directory.listEngineAddresses().map((address) => ({ address, crashes: context.crashes.listNextNotices(maxNoticesPerRequest) })),
+    Number(reportsPort),
     (message) => {
       applyReport(context, message)
       if (message.checksums === undefined) return
       endpoints.compareChecksum(message.checksums.endpoints)
       config.compareChecksum(message.checksums.config)
-    }, journal
+    }, journal, (notices) => { context.crashes.applyNotices(notices) }
   )
+  const news = new NoticeBatcher(clock, (notices) => { reports.sendCrashes(notices, random) })
+  context.crashes.subscribe({
+    handleQuarantine: (fingerprint) => {
+      for (const run of [...context.runs]) run.handleQuarantine(fingerprint)
+    },
+    handleNews: (notices) => { news.add(notices) }
+  })
   let hasSubscribed = false
   const endpoints = processContext.followEndpoints((list) => {
     for (const left of context.directory.applyEndpoints(list)) {
--- a/packages/clementineloft/src/lib/forwarding/report-codec.ts
+++ b/packages/clementineloft/src/lib/forwarding/report-codec.ts
@@ -3,7 +3,7 @@
  * a second, so the encoding is compact: a quarter of the size of the same report in JSON.
  */
 import { createError, ErrorKind } from '@clementineloft/kernel'
-import type { EndpointReport, LayerSpan } from '@clementineloft/routing'
+import type { CrashNotice, EndpointReport, LayerSpan } from '@clementineloft/routing'
 import { clementineloft as wire } from '../../../generated/report.js'
 
 /** Checksums of the replicas of platform objects in a process that watches their latest state. */
@@ -25,6 +25,8 @@
   address: string
   /** Assignment of the endpoint; only in requests of the lease holder. */
   assignment?: EndpointAssignment
+  /** Crashes that the entry tells all other entries through the sidecar. */
+  crashes?: CrashNotice[]
 }
 
 /** Report of a sidecar on its endpoint. */
@@ -41,6 +43,10 @@
   number: number
   /** Incarnation of the sidecar; each incarnation starts its own sequence. */
   incarnation: string
+  /** Crashes that the sidecar passes on between entries. */
+  crashes?: CrashNotice[]
+  /** Whether the datagram only passes on crashes and says nothing about the endpoint. */
+  isCrashesOnly?: true
 }
 
 const formatReport = ({ layers, ...report }: EndpointReport): wire.IEndpointReport => ({
@@ -57,13 +63,36 @@
   pace: report.pace
 })
 
-/** @returns the bytes of a request */
-export const encodeRequest = ({ address, assignment }: ReportRequest): Uint8Array => {
-  if (assignment === undefined) return wire.ReportRequest.encode({ address }).finish()
-  const { revision, span } = assignment
-  return wire.ReportRequest.encode({ address, assignment: { revision, fromLayer: span.from, toLayer: span.to } }).finish()
+const formatNotice = ({ fingerprint, crashes, answeredAgeMs }: CrashNotice): wire.ICrashNotice => ({
+  fingerprint,
+  crashes: crashes.map(({ endpoint, ageMs, heldMs }) => ({ endpoint, ageMs: Math.round(ageMs), heldMs: Math.round(heldMs) })),
+  ...(answeredAgeMs === undefined ? {} : { isAnswered: true, answeredAgeMs: Math.round(answeredAgeMs) })
+})
+
+const parseNotice = ({ fingerprint, crashes, isAnswered, answeredAgeMs }: wire.CrashNotice): CrashNotice => {
+  if (fingerprint === '') throw createError(ErrorKind.badRequest, 'the crash notice has no fingerprint')
+  return {
+    fingerprint,
+    crashes: crashes.map((crash) => ({ endpoint: crash.endpoint ?? '', ageMs: crash.ageMs ?? 0, heldMs: crash.heldMs ?? 0 })),
+    ...(isAnswered ? { answeredAgeMs } : {})
+  }
 }
 
+/** @returns an object with the notices of a datagram; empty if it has none */
+const parseNotices = (notices: wire.ICrashNotice[]): { crashes?: CrashNotice[] } =>
+  notices.length === 0 ? {} : { crashes: notices.map((notice) => parseNotice(notice as wire.CrashNotice)) }
+
+const formatAssignment = ({ revision, span }: EndpointAssignment): wire.ILayerAssignment =>
+  ({ revision, fromLayer: span.from, toLayer: span.to })
+
+/** @returns the bytes of a request */
+export const encodeRequest = ({ address, assignment, crashes = [] }: ReportRequest): Uint8Array =>
+  wire.ReportRequest.encode({
+    address,
+    crashes: crashes.map(formatNotice),
+    ...(assignment === undefined ? {} : { assignment: formatAssignment(assignment) })
+  }).finish()
+
 /**
  * @returns the request in a datagram
  * @throws `bad-request` if the datagram is not a valid request
@@ -77,15 +106,20 @@
   }
   const { address, assignment } = request
   if (address === '') throw createError(ErrorKind.badRequest, 'the report request has no endpoint address')
-  if (assignment == null) return { address }
+  const notices = parseNotices(request.crashes)
+  if (assignment == null) return { address, ...notices }
   const { revision, fromLayer: from, toLayer: to } = assignment as wire.LayerAssignment
   if (revision <= 0 || to <= from) throw createError(ErrorKind.badRequest, `layers ${from} to ${to} of layout ${revision} are not a valid assignment`)
-  return { address, assignment: { revision, span: { from, to } } }
+  return { address, assignment: { revision, span: { from, to } }, ...notices }
 }
 
 /** @returns the bytes of a report */
-export const encodeReport = ({ report, ...message }: ReportMessage): Uint8Array =>
-  wire.ReportDatagram.encode({ ...message, ...(report === undefined ? {} : { report: formatReport(report) }) }).finish()
+export const encodeReport = ({ report, crashes = [], ...message }: ReportMessage): Uint8Array =>
+  wire.ReportDatagram.encode({
+    ...message,
+    crashes: crashes.map(formatNotice),
+    ...(report === undefined ? {} : { report: formatReport(report) })
+  }).finish()
 
 /**
  * @returns the report in a datagram
@@ -98,7 +132,7 @@
   } catch (error) {
     throw createError(ErrorKind.badRequest, 'the datagram is not a valid report', { cause: error })
   }
-  const { address, report, checksums, entries, number, incarnation } = datagram
+  const { address, report, checksums, entries, number, incarnation, isCrashesOnly } = datagram
   if (address === '') throw createError(ErrorKind.badRequest, 'the report has no endpoint address')
   return {
     address,
@@ -106,6 +140,8 @@
     number,
     incarnation,
     ...(report == null ? {} : { report: parseReport(report as wire.EndpointReport) }),
+    ...parseNotices(datagram.crashes),
+    ...(isCrashesOnly ? { isCrashesOnly } : {}),
     ...(checksums == null ? {} : { checksums: { endpoints: checksums.endpoints ?? 0, config: checksums.config ?? 0 } })
   }
 }
--- a/packages/clementineloft/src/lib/forwarding/report-datagrams.ts
+++ b/packages/clementineloft/src/lib/forwarding/report-datagrams.ts
@@ -9,13 +9,15 @@
 import { createSocket } from 'node:dgram'
 import type { RemoteInfo, Socket } from 'node:dgram'
 import { getErrorMessage } from '@clementineloft/kernel'
-import type { Clock, Journal } from '@clementineloft/kernel'
-import type { EndpointReport } from '@clementineloft/routing'
+import type { Clock, Journal, RandomSource } from '@clementineloft/kernel'
+import type { CrashNotice, EndpointReport } from '@clementineloft/routing'
 import { decodeReport, decodeRequest, encodeReport, encodeRequest } from './report-codec.js'
 import type { ReplicaChecksums, ReportMessage, ReportRequest } from './report-codec.js'
 
 /** Time between two report requests, in milliseconds. */
 const renewalIntervalMs = 1000
+/** Number of sidecars that pass an urgent notice on: two of them may be lost. */
+const relayCount = 4
 /** Time for which a report request keeps a subscription alive, in milliseconds: two requests in a row may be lost. */
 const subscriptionTtlMs = 3500
 
@@ -57,22 +59,35 @@
     })
   }
 
-  /** Sends a report to all subscribers whose subscription has not expired. */
-  send (address: string, report: EndpointReport | undefined, checksums: ReplicaChecksums | undefined): void {
-    const nowMs = this.clock.now()
-    for (const [key, subscriber] of this.subscribers) {
-      if (subscriber.untilMs < nowMs) this.subscribers.delete(key)
-    }
-    if (this.subscribers.size === 0) return
-    const message: ReportMessage = {
+  /**
+   * Sends a report to all subscribers whose subscription has not expired.
+   *
+   * @param crashes - notices to pass on with the report
+   */
+  send (address: string, report: EndpointReport | undefined, checksums: ReplicaChecksums | undefined, crashes: CrashNotice[]): void {
+    this.sendMessage({
       address,
-      entries: this.subscribers.size,
       number: ++this.number,
       incarnation: this.incarnation,
+      crashes,
       ...(report === undefined ? {} : { report }),
       ...(checksums === undefined ? {} : { checksums })
+    })
+  }
+
+  /** Sends notices of crashes at once, without a report. */
+  sendCrashes (address: string, crashes: CrashNotice[]): void {
+    const { incarnation, number } = this
+    this.sendMessage({ address, number, incarnation, crashes, isCrashesOnly: true })
+  }
+
+  private sendMessage (message: Omit<ReportMessage, 'entries'>): void {
+    const nowMs = this.clock.now()
+    for (const [key, subscriber] of this.subscribers) {
+      if (subscriber.untilMs < nowMs) this.subscribers.delete(key)
     }
-    const bytes = encodeReport(message)
+    if (this.subscribers.size === 0) return
+    const bytes = encodeReport({ ...message, entries: this.subscribers.size })
     for (const { host, port } of this.subscribers.values()) this.socket.send(bytes, port, host, () => { /* The next report replaces a lost one. */ })
   }
 
@@ -102,26 +117,34 @@
    * @param listRequests - returns the requests to send, one per endpoint
    * @param sidecarPort - port of all sidecars
    * @param apply - receives each report that is newer than the previous one of its endpoint
+   * @param applyCrashes - receives notices of crashes; ignored if absent
    */
   constructor (
     address: string,
     private readonly listRequests: () => ReportRequest[],
     private readonly sidecarPort: number,
     apply: (message: ReportMessage) => void,
-    private readonly journal: Journal
+    private readonly journal: Journal,
+    applyCrashes?: (notices: readonly CrashNotice[]) => void
   ) {
     this.socket = openSocket(address, journal, (bytes) => {
       const message = this.parse(bytes)
-      if (message !== undefined) apply(message)
+      if (message?.crashes !== undefined) applyCrashes?.(message.crashes)
+      if (message !== undefined && message.isCrashesOnly === undefined && this.isNewer(message)) apply(message)
     })
     this.timer = setInterval(() => { this.renewSubscriptions() }, renewalIntervalMs)
   }
 
   /** Sends a report request to every sidecar, which renews the subscription there. */
   renewSubscriptions (): void {
-    for (const request of this.listRequests()) {
-      this.socket.send(encodeRequest(request), this.sidecarPort, getHost(request.address), () => { /* The request is sent again after the interval. */ })
-    }
+    for (const request of this.listRequests()) this.sendRequest(request)
+  }
+
+  /** Sends notices of crashes at once to some sidecars, which pass them on to all entries. */
+  sendCrashes (crashes: CrashNotice[], random: RandomSource): void {
+    const requests = this.listRequests()
+    const first = Math.floor(random.next() * requests.length)
+    for (const request of [...requests.slice(first), ...requests.slice(0, first)].slice(0, relayCount)) this.sendRequest({ ...request, crashes })
   }
 
   /** Closes the socket. */
@@ -130,14 +153,20 @@
     this.socket.close()
   }
 
+  private sendRequest (request: ReportRequest): void {
+    this.socket.send(encodeRequest(request), this.sidecarPort, getHost(request.address), () => { /* The request is sent again after the interval. */ })
+  }
+
+  private isNewer ({ address, incarnation, number }: ReportMessage): boolean {
+    const latest = this.latest.get(address)
+    if (latest !== undefined && latest.incarnation === incarnation && number <= latest.number) return false
+    this.latest.set(address, { incarnation, number })
+    return true
+  }
+
   private parse (bytes: Buffer): ReportMessage | undefined {
     try {
-      const message = decodeReport(bytes)
-      const latest = this.latest.get(message.address)
-      const isOutdated = latest !== undefined && latest.incarnation === message.incarnation && message.number <= latest.number
-      if (isOutdated) return undefined
-      this.latest.set(message.address, { incarnation: message.incarnation, number: message.number })
-      return message
+      return decodeReport(bytes)
     } catch (error) {
       this.journal.record({ name: 'report-unreadable', detail: getErrorMessage(error) })
       return undefined
--- a/packages/clementineloft/src/lib/forwarding/running-call.ts
+++ b/packages/clementineloft/src/lib/forwarding/running-call.ts
@@ -24,4 +24,6 @@
   startFromQueue: () => boolean
   /** Ends a queued call whose maximum queue time has passed. */
   rejectExpired: () => void
+  /** Ends the call if it has this fingerprint, which has been quarantined, and has not been answered. */
+  handleQuarantine: (fingerprint: string) => void
 }
--- a/packages/routing/src/lib/calls/attempt-rule.ts
+++ b/packages/routing/src/lib/calls/attempt-rule.ts
@@ -40,7 +40,7 @@
 export interface AttemptState {
   route: CallRoute
   end: AttemptEnd
-  /** Number of endpoints at which the call has run or may have run, and which are not known to have ended. */
+  /** Number of endpoints at which the call has run or may have run, including those that have ended since. */
   runs: number
   /** Number of times that the call was sent and did not run. */
   refusals: number
--- a/packages/stand-ins/src/test/crashing-calls_test.ts
+++ b/packages/stand-ins/src/test/crashing-calls_test.ts
@@ -18,6 +18,10 @@
 const observedCrashes = 3
 const entryCount = 3
 const laterRepeats = 15
+/** Status of a refused repeat. */
+const refusedStatus = 429
+/** Time in which an entry that has started learns of earlier crashes, in milliseconds: two report requests. */
+const noticeTimeoutMs = 2000
 
 const platform = new EmulatedPlatform({ network: '127.73', entries: entryCount, workers: 8, services: 3 })
 
@@ -70,3 +74,23 @@
     assert.ok(await waitUntil(() => platform.workers.every((worker) => worker.isAlive() && worker.layers !== null), 10 * emulatedModel.loadMs))
   })
 }
+
+test('an entry that has just started refuses a call that crashed endpoints before', async () => {
+  const body = 'crashes-before-the-start'
+  platform.fleet.crashTriggers.bodies.add(body)
+  const ids = new Set<string>()
+  const repeat = async (address: string): Promise<number> => {
+    const answer = await send('/streams/same', body, { ...streamChanges, address })
+    ids.add(answer.id)
+    return answer.status
+  }
+  assert.ok(await waitUntil(async () => await repeat(platform.getEntryAddress(2)) === refusedStatus, contactMs))
+  const runsBefore = countRuns(ids)
+  platform.processes.signal('entry-1', 'SIGKILL')
+  await platform.processes.waitForExit('entry-1')
+  platform.restartProcess('entry-1')
+  await platform.waitUntilReady()
+  await wait(noticeTimeoutMs)
+  assert.equal(await repeat(platform.getEntryAddress(1)), refusedStatus)
+  assert.equal(countRuns(ids), runsBefore)
+})
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -228,6 +228,34 @@
     to: '>= 99',
     test: 'routing/dist/test/crash-register_test.js'
   },
+  {
+    mechanism: 'crashes with a common cause count as one',
+    file: 'routing/dist/lib/crash-register.js',
+    from: 'if (hasCommonCause)',
+    to: 'if (false)',
+    test: 'routing/dist/test/crash-register_test.js'
+  },
+  {
+    mechanism: 'an answer clears a request of crashes',
+    file: 'routing/dist/lib/crash-register.js',
+    from: 'crashedMs <= record.answeredMs + answerValidityMs',
+    to: 'false',
+    test: 'routing/dist/test/crash-register_test.js'
+  },
+  {
+    mechanism: 'suspects are evicted before quarantined requests',
+    file: 'routing/dist/lib/crash-register.js',
+    from: 'if (!this.isQuarantined(fingerprint))\n                this.remove(fingerprint);\n        }',
+    to: 'this.remove(fingerprint);\n        }',
+    test: 'routing/dist/test/crash-register_test.js'
+  },
+  {
+    mechanism: 'a lost connection counts as a crash only if the endpoint has ended',
+    file: 'clementineloft/dist/lib/adapters/listen-probe.js',
+    from: 'finish(error.code === refusedCode)',
+    to: 'finish(false)',
+    test: 'clementineloft/dist/test/listen-probe_test.js'
+  },
   {
     mechanism: 'queue shares follow team weights',
     file: 'routing/dist/lib/fair-queue.js',
