Refuse calls that crash plain services in the product's own protocol too

The same class of fault as with forwarded calls, found by reading: the quarantine covered engines only, so that a call of a plain service that crashes its endpoint was repeated at up to four endpoints and again with each repeat of the caller. The sidecar now asks after a lost call whether its service refuses connections, tells all processes of the crash, and refuses a call that was running at two crashes as not run. An answer clears the call; a lost answer of a service that runs on accuses none.

crash-guard_test runs a call at four endpoints: without the check it runs at all four (mutant), with it at two; the same content of another team is known separately.

--- a/packages/clementineloft/src/lib/adapters/http-plain-service.ts
+++ b/packages/clementineloft/src/lib/adapters/http-plain-service.ts
@@ -1,12 +1,15 @@
 /**
  * Adapter of a plain service over HTTP.
  */
+import { SystemClock } from '@clementineloft/kernel'
 import { plainServices } from './adapters.js'
 import { HttpClient } from './http-client.js'
+import { ListenProbe } from './listen-probe.js'
 import { PlainService } from './plain-service.js'
 import type { ServiceAnswer, ServiceCall } from './plain-service.js'
 
 const hopByHopHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length', 'upgrade', 'te', 'trailer', 'date'])
+const defaultPorts: Readonly<Record<string, string>> = { 'http:': '80', 'https:': '443' }
 
 /**
  * @param rawHeaders - names and values of headers, alternating
@@ -24,6 +27,7 @@
 /** Forwards calls without changing method, path and body. */
 export class HttpPlainService extends PlainService {
   private readonly client = new HttpClient()
+  private readonly probe = new ListenProbe(new SystemClock())
 
   constructor (
     private readonly url: string,
@@ -48,6 +52,11 @@
     return { status: reply.status, headers: responseHeaders, body: reply.body.toString('base64') }
   }
 
+  override async hasEnded (): Promise<boolean> {
+    const { hostname, port, protocol } = new URL(this.url)
+    return await this.probe.isClosed(`${hostname}:${port === '' ? defaultPorts[protocol] : port}`)
+  }
+
   /** Sets path and query separately, so that a path cannot change the host. */
   private createUrl (path: string): URL {
     const url = new URL(this.url)
--- a/packages/clementineloft/src/lib/adapters/plain-service.ts
+++ b/packages/clementineloft/src/lib/adapters/plain-service.ts
@@ -27,4 +27,7 @@
 }
 
 /** Forwards calls to a plain service. */
-export abstract class PlainService extends CallRunner<ServiceCall, ServiceAnswer> {}
+export abstract class PlainService extends CallRunner<ServiceCall, ServiceAnswer> {
+  /** @returns whether the service has ended and not started again; false if that is unknown */
+  abstract hasEnded (): Promise<boolean>
+}
--- a/packages/clementineloft/src/lib/endpoints/service-sidecar.ts
+++ b/packages/clementineloft/src/lib/endpoints/service-sidecar.ts
@@ -15,6 +15,7 @@
 import { plainServices } from '../adapters/adapters.js'
 import { computeWeight } from '../operators/config-document.js'
 import { sidecarService } from '../peers/grpc-services.js'
+import { CrashGuard } from './crash-guard.js'
 import { findKeyRange } from './key-ranges.js'
 import type { ProcessRuntime } from '../peers/process-runtime.js'
 import type { PlainService, ServiceAnswer, ServiceCall } from '../adapters/plain-service.js'
@@ -64,7 +65,10 @@
     const { clock, incarnation, replica, metrics } = context
     this.endpoint = context.settings.instance.name
     this.tickets = new TicketIssuer(this.endpoint, incarnation, clock, settings.retention_ms)
-    const service = plainServices.get(settings.adapter)(settings.url, settings.call_timeout_ms)
+    const service = new CrashGuard(
+      plainServices.get(settings.adapter)(settings.url, settings.call_timeout_ms), this.endpoint, context.crashes,
+      async (report) => { await runtime.broadcastCrash(report) }
+    )
     const getWeight = (team: string): number => computeWeight(replica.getDocument()?.teams[team])
     const runner = new FairQueueRunner(service, clock, settings.max_in_flight, getWeight)
     this.gate = new CallGate(
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -256,6 +256,13 @@
     to: 'finish(false)',
     test: 'clementineloft/dist/test/listen-probe_test.js'
   },
+  {
+    mechanism: 'plain services refuse calls that crash them',
+    file: 'clementineloft/dist/lib/endpoints/crash-guard.js',
+    from: 'if (this.crashes.isQuarantined(fingerprint))',
+    to: 'if (false)',
+    test: 'clementineloft/dist/test/crash-guard_test.js'
+  },
   {
     mechanism: 'queue shares follow team weights',
     file: 'routing/dist/lib/fair-queue.js',
