--- a/packages/clementineloft/src/lib/forwarding/call-attempt.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-attempt.ts
@@ -20,6 +20,9 @@
 /** Timeout for the body of an error answer, in milliseconds; a body that ends late or never holds up the call no longer. */
 const failureBodyTimeoutMs = 500
 
+/** Maximum number of prompt parts in a line of the journal. */
+const maxRecordedParts = 8
+
 /** Result of an attempt that ended without a complete answer. */
 export interface AttemptResult {
   end: AttemptEnd
@@ -236,9 +239,11 @@
   /** Records that the endpoint was lost, and which content it had at that time. */
   private recordLoss (name: string, reason: string, wasSent: boolean): void {
     const { progress } = this
+    const { call, fingerprint } = this.admittedCall
     const { address } = this.currentPlacement.endpoint
     this.context.metrics.count(`attempts_lost_total{answer="${progress}"}`)
-    this.listener.record(name, { endpoint: address, wasSent, reason, answer: progress, fingerprint: this.admittedCall.fingerprint })
+    const sharedParts = call.sharedParts?.slice(0, maxRecordedParts).join(' ') ?? ''
+    this.listener.record(name, { endpoint: address, wasSent, reason, answer: progress, fingerprint, sharedParts })
   }
 
   /** @returns `AttemptEnd.cut` if the caller already has part of the answer, otherwise `end` */
--- a/packages/clementineloft/src/lib/forwarding/call-protocol.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-protocol.ts
@@ -16,6 +16,8 @@
   callerTimeoutMs?: number
   /** Expected size, for calls of model services. */
   size?: RequestSize
+  /** Identities of the parts of the prompt that other calls may have too, in order. */
+  sharedParts?: string[]
   /** Id of the last event that the caller has received, for a resumed stream. */
   lastEventId?: string
   /** Headers to forward: names and values alternate. */
