--- a/packages/stand-ins/src/emulator/emulated-call.ts
+++ b/packages/stand-ins/src/emulator/emulated-call.ts
@@ -48,6 +48,8 @@
 export class CrashTriggers {
   /** Bodies of such calls. */
   readonly bodies = new Set<string>()
+  /** Identities of prompt parts that make a call such a one. */
+  readonly parts = new Set<string>()
   /** Time from a crash to the start of the next incarnation, in milliseconds. */
   restartMs = 1000
   /** Whether the platform has stopped, so that no endpoint starts again. */
@@ -55,7 +57,8 @@
 
   /** @returns whether the call crashes the endpoint that begins to answer it */
   isTriggeredBy (call: EmulatedCall): boolean {
-    return this.bodies.has(call.body)
+    const parts = String(call.headers['prompt-prefix'] ?? '').split(',').map((entry) => entry.split(':', 1)[0] as string)
+    return this.bodies.has(call.body) || parts.some((part) => this.parts.has(part))
   }
 
   /** Schedules the next incarnation of an endpoint that has crashed. */
