--- a/packages/clementineloft/src/lib/endpoints/crash-guard.ts
+++ b/packages/clementineloft/src/lib/endpoints/crash-guard.ts
@@ -31,7 +31,7 @@
     }
     try {
       const answer = await this.service.run(call)
-      this.crashes.recordAnswer(fingerprint)
+      this.crashes.recordAnswer([fingerprint])
       return answer
     } catch (error) {
       const mayHaveCrashed = getErrorOutcome(error) === Outcome.unknown && await this.service.hasEnded()
--- a/packages/clementineloft/src/lib/forwarding/admitted-call.ts
+++ b/packages/clementineloft/src/lib/forwarding/admitted-call.ts
@@ -13,8 +13,8 @@
   /** Priority rank of the team or route; 0 is the most urgent. */
   rank: number
   body: Buffer
-  /** Digest of team and content, the same for every repeat of the caller. */
-  fingerprint: string
+  /** What identifies the call to the quarantine: first its fingerprint, then its shared prompt parts. */
+  traits: readonly string[]
   /** When the caller's request arrived, in milliseconds of the clock. */
   arrivedMs: number
 }
--- a/packages/clementineloft/src/lib/forwarding/call-attempt.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-attempt.ts
@@ -4,13 +4,14 @@
  */
 import type { IncomingMessage } from 'node:http'
 import { AttemptEnd, FailureEvidence, Repeatability } from '@clementineloft/routing'
-import type { PathPart } from '@clementineloft/routing'
+import type { CallEndpoint, PathPart } from '@clementineloft/routing'
 import type { AnswerWriter } from '../callers/answer-writer.js'
 import type { AdmittedCall } from './admitted-call.js'
 import { AnswerRelay } from './answer-relay.js'
 import type { EndpointFailure } from './attempt-history.js'
 import type { AnswerHead, Delivery } from './call-protocol.js'
 import type { Placement } from './call-placement.js'
+import type { CrashEvidence } from './crash-evidence.js'
 import type { EndpointExchange } from './endpoint-exchange.js'
 import type { ForwardingContext } from './forwarding-context.js'
 
@@ -20,6 +21,9 @@
 /** Timeout for the body of an error answer, in milliseconds; a body that ends late or never holds up the call no longer. */
 const failureBodyTimeoutMs = 500
 
+/** Time after the head of an answer within which the endpoint is beginning to answer, in milliseconds. */
+const beginningMs = 100
+
 /** Maximum number of prompt parts in a line of the journal. */
 const maxRecordedParts = 8
 
@@ -49,6 +53,8 @@
   placement: Placement
   /** Time until the call's deadline, in milliseconds. */
   remainingMs: number
+  /** Evidence on whether the call crashes its endpoints, over all its attempts. */
+  evidence: CrashEvidence
   /** Id of the event after which a stream resumes. */
   lastEventId?: string
 }
@@ -74,6 +80,9 @@
   private progress: AnswerProgress = AnswerProgress.none
   /** When the call was sent, in milliseconds of the clock. */
   private readonly sentMs: number
+  private readonly evidence: CrashEvidence
+  /** When the head of the answer arrived, in milliseconds of the clock. */
+  private headMs = -Infinity
 
   constructor (
     private readonly context: ForwardingContext,
@@ -84,6 +93,7 @@
   ) {
     this.currentPlacement = start.placement
     this.sentMs = context.clock.now()
+    this.evidence = start.evidence
     context.placement.recordStart(start.placement)
     this.exchange = this.open(start)
   }
@@ -96,15 +106,23 @@
   /** Moves the accounting to other parts, after the first endpoint has accepted the change of path. */
   changeParts (parts: PathPart[]): void {
     const { placement } = this.context
+    this.recordDeparture()
     placement.recordEnd(this.currentPlacement)
     this.currentPlacement = { ...this.currentPlacement, parts }
     placement.recordStart(this.currentPlacement)
   }
 
+  /** Records that an endpoint does not answer its sidecar any more. Concerns the call if it is a part of its path. */
+  recordSilence (endpoint: CallEndpoint): void {
+    const isPart = this.currentPlacement.parts?.some((part) => part.endpoint.id === endpoint.id) === true
+    if (isPart) void this.evidence.recordLoss(endpoint, this.sentMs, false)
+  }
+
   /** Releases the placement and closes the connection, so that the endpoint stops working on the call. */
   cancel (): void {
     if (this.isFinished) return
     this.isFinished = true
+    this.recordDeparture()
     this.context.placement.recordEnd(this.currentPlacement)
     this.exchange.cancel()
   }
@@ -115,7 +133,12 @@
     this.isFinished = true
     this.context.placement.recordEnd(this.currentPlacement)
     this.context.directory.health.recordSuccess(this.currentPlacement.endpoint.id)
-    this.context.crashes.recordAnswer(this.admittedCall.fingerprint)
+    this.evidence.recordAnswer()
+  }
+
+  private recordDeparture (): void {
+    const { parts } = this.currentPlacement
+    if (parts !== undefined) this.evidence.recordDeparture(parts.map((part) => part.endpoint), this.sentMs)
   }
 
   private open ({ placement, remainingMs, lastEventId }: AttemptStart): EndpointExchange {
@@ -148,7 +171,7 @@
     if (this.isFinished) return
     const { endpoint } = this.currentPlacement
     this.recordFailure(endpoint.id, FailureEvidence.lost)
-    if (wasSent) this.recordPossibleCrash()
+    if (wasSent) void this.evidence.recordLoss(endpoint, this.sentMs, false)
     this.recordLoss('endpoint-lost', reason, wasSent)
     this.end({ end: wasSent ? AttemptEnd.unknown : AttemptEnd.notRun, mayHaveRun: wasSent })
   }
@@ -190,7 +213,7 @@
     const timer = this.context.clock.schedule(failureBodyTimeoutMs, endWithoutBody)
     this.createRelay(head, response).readBody((body) => {
       timer.cancel()
-      this.context.crashes.recordAnswer(this.admittedCall.fingerprint)
+      this.evidence.recordAnswer()
       this.recordFailure(endpoint.id, FailureEvidence.failed)
       this.listener.record('endpoint-failed', { endpoint: endpoint.address, status: head.status })
       this.end({ end: this.resolveEnd(AttemptEnd.failed), mayHaveRun: true, failure: { head, body } })
@@ -202,6 +225,7 @@
 
   private forward (head: AnswerHead, response: IncomingMessage): void {
     this.progress = AnswerProgress.head
+    this.headMs = this.context.clock.now()
     const relay = this.createRelay(head, response)
     const listener = {
       handleEvents: (count: number, lastId: string | undefined) => { this.recordEvents(count, lastId) },
@@ -218,7 +242,7 @@
 
   private recordEvents (count: number, lastId: string | undefined): void {
     const { parts } = this.currentPlacement
-    if (this.progress !== AnswerProgress.events) this.context.crashes.recordAnswer(this.admittedCall.fingerprint)
+    this.evidence.recordEvents()
     this.progress = AnswerProgress.events
     if (parts !== undefined) this.context.directory.progress.record(parts)
     this.listener.handleEvents(count, lastId)
@@ -226,20 +250,24 @@
 
   private handleTruncated (reason: string): void {
     this.recordLoss('answer-cut', reason, true)
-    this.recordPossibleCrash()
-    this.end({ end: this.resolveEnd(AttemptEnd.unknown), mayHaveRun: true })
+    const isBeginning = this.isBeginning()
+    const evidence = this.evidence.recordLoss(this.currentPlacement.endpoint, this.sentMs, isBeginning)
+    const end = (): void => { this.end({ end: this.resolveEnd(AttemptEnd.unknown), mayHaveRun: true }) }
+    // A call that may just have crashed its endpoint goes to no other one before this is known.
+    if (isBeginning) void evidence.then(end)
+    else end()
   }
 
-  /** Holds the loss of the endpoint against the call, unless the call had already produced events there. */
-  private recordPossibleCrash (): void {
-    if (this.progress === AnswerProgress.events) return
-    void this.context.crashes.recordLoss(this.admittedCall.fingerprint, this.currentPlacement.endpoint, this.sentMs)
+  /** @returns whether the endpoint has just begun to answer, and no event is complete */
+  private isBeginning (): boolean {
+    const isStarted = this.admittedCall.route.isStream && this.progress === AnswerProgress.head
+    return isStarted && this.context.clock.now() - this.headMs <= beginningMs
   }
 
   /** Records that the endpoint was lost, and which content it had at that time. */
   private recordLoss (name: string, reason: string, wasSent: boolean): void {
     const { progress } = this
-    const { call, fingerprint } = this.admittedCall
+    const { call, traits: [fingerprint = ''] } = this.admittedCall
     const { address } = this.currentPlacement.endpoint
     this.context.metrics.count(`attempts_lost_total{answer="${progress}"}`)
     const sharedParts = call.sharedParts?.slice(0, maxRecordedParts).join(' ') ?? ''
--- a/packages/clementineloft/src/lib/forwarding/call-run.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-run.ts
@@ -5,8 +5,8 @@
 import type { ServerResponse } from 'node:http'
 import { createError, ErrorKind } from '@clementineloft/kernel'
 import type { Timer } from '@clementineloft/kernel'
-import { AttemptEnd, canRunAgain, computeRetryDelay, crashRetentionMs, NextStep } from '@clementineloft/routing'
-import type { PathPart } from '@clementineloft/routing'
+import { AttemptEnd, canRunAgain, computeRetryDelay, NextStep } from '@clementineloft/routing'
+import type { CallEndpoint, PathPart } from '@clementineloft/routing'
 import { AnswerWriter } from '../callers/answer-writer.js'
 import type { AdmittedCall } from './admitted-call.js'
 import { AttemptHistory } from './attempt-history.js'
@@ -14,6 +14,7 @@
 import { CallAttempt } from './call-attempt.js'
 import type { AttemptResult } from './call-attempt.js'
 import type { Placement } from './call-placement.js'
+import { CrashEvidence } from './crash-evidence.js'
 import type { ForwardingContext } from './forwarding-context.js'
 import type { RunningCall } from './running-call.js'
 import { StreamFailover } from './stream-failover.js'
@@ -32,6 +33,7 @@
   private readonly writer: AnswerWriter
   private readonly deadlineMs: number
   private readonly attemptHistory: AttemptHistory
+  private readonly evidence: CrashEvidence
   private attempt: CallAttempt | undefined
   private deadline: Timer | undefined
   private lastEventId: string | undefined
@@ -51,6 +53,7 @@
     const { call, route, arrivedMs } = admittedCall
     this.deadlineMs = arrivedMs + Math.min(route.timeoutMs, call.callerTimeoutMs ?? Infinity)
     this.attemptHistory = new AttemptHistory(route, context.getRetryWindow(admittedCall.service))
+    this.evidence = new CrashEvidence(context.crashes, context.clock, admittedCall.traits)
     this.lastEventId = call.lastEventId
     this.rank = admittedCall.rank
     this.team = admittedCall.team ?? ''
@@ -79,9 +82,14 @@
     return true
   }
 
-  /** Ends the call if it has this fingerprint, which has been quarantined, and has not been answered. */
-  handleQuarantine (fingerprint: string): void {
-    if (this.isFinished || fingerprint !== this.admittedCall.fingerprint || this.events > 0) return
+  /** Records that an endpoint does not answer its sidecar any more, which may be due to the call. */
+  recordSilence (endpoint: CallEndpoint): void {
+    this.attempt?.recordSilence(endpoint)
+  }
+
+  /** Ends the call if calls with its traits are refused now, unless an endpoint has survived its answer. */
+  handleQuarantine (): void {
+    if (this.isFinished || !this.evidence.isAgainstCall()) return
     if (this.attempt !== undefined) this.attemptHistory.hasMaybeRun = true
     this.finishQuarantined()
   }
@@ -129,8 +137,8 @@
   }
 
   private sendOrEnqueue (): void {
-    const { call, service, fingerprint } = this.admittedCall
-    if (this.context.crashes.isQuarantined(fingerprint)) {
+    const { call, service } = this.admittedCall
+    if (this.evidence.isAgainstCall()) {
       this.finishQuarantined()
       return
     }
@@ -163,6 +171,7 @@
     this.lastProgressMs = clock.now()
     const start = {
       placement,
+      evidence: this.evidence,
       remainingMs: Math.max(1, Math.floor(this.deadlineMs - clock.now())),
       ...(this.lastEventId === undefined ? {} : { lastEventId: this.lastEventId })
     }
@@ -199,7 +208,7 @@
   }
 
   private finishQuarantined (): void {
-    const reason = 'a call with the same team and content has crashed several endpoints; change it before a retry'
+    const reason = 'calls with the same content or prompt part have crashed several endpoints; change it before a retry'
     const step = this.attemptHistory.chooseFinalStep(this.writer.hasBegun())
     if (step === NextStep.refuse) this.sendError(ErrorKind.quarantined, reason)
     else this.finish(step, reason)
@@ -227,7 +236,7 @@
       isCoverageMissing: this.isServiceUnavailable,
       waitMs: this.context.waitingCalls.estimateWait(this.rank)
     }
-    const retryAfterMs = kind === ErrorKind.quarantined ? crashRetentionMs : computeRetryDelay(state, this.context.random)
+    const retryAfterMs = kind === ErrorKind.quarantined ? this.evidence.computeRefusalMs() : computeRetryDelay(state, this.context.random)
     const answer = protocol.createAnswer(call, createError(kind, reason), retryAfterMs)
     this.complete(() => { this.writer.sendLocalAnswer(answer, false) }, kind)
   }
--- a/packages/clementineloft/src/lib/forwarding/crash-monitor.ts
+++ b/packages/clementineloft/src/lib/forwarding/crash-monitor.ts
@@ -1,21 +1,33 @@
 /**
  * Finds out which calls crash endpoints, refuses them, and shares what it knows with all other entries.
  *
- * Addresses a call that crashes every endpoint that begins to run it: its caller repeats it under a new identity at any
- * entry, so that each repeat would crash another endpoint.
+ * Addresses calls that crash every endpoint that begins to answer them: their callers repeat them under a new identity at
+ * any entry, or send others with the same prompt part, so that each would crash another endpoint.
  */
 import type { Clock, Journal, Metrics } from '@clementineloft/kernel'
 import { CrashRegister } from '@clementineloft/routing'
 import type { CallEndpoint, CrashNotice } from '@clementineloft/routing'
 import { ListenProbe } from '../adapters/listen-probe.js'
+import { RecentVisits } from './recent-visits.js'
+import type { Visit } from './recent-visits.js'
 
 /** Time within which crashes may have a common cause, in milliseconds: a power loss ends many endpoints within it. */
 const commonCauseMs = 40
 
+/** A call that lost its endpoint. */
+export interface LostCall {
+  traits: readonly string[]
+  endpoint: CallEndpoint
+  /** When the call was sent there, in milliseconds of the clock. */
+  sentMs: number
+  /** Whether the endpoint was beginning to answer it: some bytes, and no complete event. */
+  isBeginning: boolean
+}
+
 /** Receives what a {@link CrashMonitor} finds out. */
 export interface CrashListener {
-  /** Called when a call has been quarantined, so that attempts in progress end. */
-  handleQuarantine: (fingerprint: string) => void
+  /** Called when more calls are refused than before, so that attempts in progress end. */
+  handleQuarantine: () => void
   /** Called with news for the other entries. */
   handleNews: (notices: CrashNotice[]) => void
 }
@@ -24,7 +36,9 @@
 export class CrashMonitor {
   private readonly register: CrashRegister
   private readonly probe: ListenProbe
+  private readonly visits: RecentVisits
   private listener: CrashListener | undefined
+  private quarantined: string[] = []
 
   constructor (
     private readonly clock: Clock,
@@ -33,6 +47,7 @@
   ) {
     this.register = new CrashRegister(clock, { commonCauseMs })
     this.probe = new ListenProbe(clock)
+    this.visits = new RecentVisits(clock)
   }
 
   /** @param listener - receives what is found out from now on */
@@ -40,30 +55,35 @@
     this.listener = listener
   }
 
-  /** @returns whether the call is refused, since it has crashed several endpoints */
-  isQuarantined (fingerprint: string): boolean {
-    return this.register.isQuarantined(fingerprint)
+  /** @returns time for which calls with these traits are refused, since such calls crash endpoints; 0 if they are not */
+  computeRefusalMs (traits: readonly string[]): number {
+    return this.register.computeRefusalMs(traits)
+  }
+
+  /** Records a call that lost its endpoint while it waited for its answer. Counts only if the endpoint has ended. */
+  async recordLoss ({ traits, endpoint, sentMs, isBeginning }: LostCall): Promise<void> {
+    const crash = { endpoint: `${endpoint.id}@${endpoint.bornMs}`, sentMs, crashedMs: this.clock.now(), isBeginning }
+    if (await this.probe.isClosed(endpoint.address)) this.broadcast(this.register.recordCrash(traits, crash))
   }
 
-  /**
-   * Records that a connection was lost on which a call waited for its answer. Counts only if the endpoint has ended.
-   *
-   * @param sentMs - when the call was sent to the endpoint, in milliseconds of the clock
-   */
-  async recordLoss (fingerprint: string, { id, bornMs, address }: CallEndpoint, sentMs: number): Promise<void> {
-    const crash = { endpoint: `${id}@${bornMs}`, sentMs, crashedMs: this.clock.now() }
-    if (!await this.probe.isClosed(address)) return
-    this.applyChange(fingerprint, () => this.register.recordCrash(fingerprint, crash))
+  /** Records that a call has left its endpoints without an answer that cleared it. */
+  recordVisit (visit: Visit): void {
+    this.visits.record(visit)
+  }
+
+  /** Records that an endpoint does not answer its sidecar any more, which may be due to a call that has just been there. */
+  recordSilence (endpoint: CallEndpoint): void {
+    for (const { traits, sentMs } of this.visits.listAt(endpoint)) void this.recordLoss({ traits, endpoint, sentMs, isBeginning: false })
   }
 
   /** Records that the endpoint has answered a call, so that the call has not crashed it. */
-  recordAnswer (fingerprint: string): void {
-    this.applyChange(fingerprint, () => this.register.recordAnswer(fingerprint))
+  recordAnswer (traits: readonly string[]): void {
+    this.broadcast(this.register.recordAnswer(traits))
   }
 
   /** Records what other entries know. */
   applyNotices (notices: readonly CrashNotice[]): void {
-    for (const notice of notices) this.applyChange(notice.fingerprint, () => this.register.merge(notice))
+    this.broadcast(notices.filter((notice) => this.register.merge(notice)).map(({ trait }) => trait))
   }
 
   /** @returns some of the known crashes; successive calls go through all of them in turn */
@@ -71,18 +91,24 @@
     return this.register.listNextNotices(maxNotices)
   }
 
-  /** @param change - changes what is known of a fingerprint. Returns whether other entries should know it */
-  private applyChange (fingerprint: string, change: () => boolean): void {
-    const wasQuarantined = this.register.isQuarantined(fingerprint)
-    if (!change()) return
-    const notice = this.register.createNotice(fingerprint)
-    if (notice !== undefined) this.listener?.handleNews([notice])
-    const isQuarantined = this.register.isQuarantined(fingerprint)
-    if (isQuarantined === wasQuarantined) return
+  /** @param changed - traits of which other entries should know more */
+  private broadcast (changed: readonly string[]): void {
+    if (changed.length === 0) return
+    this.listener?.handleNews(changed.flatMap((trait) => this.register.createNotice(trait) ?? []))
+    const before = this.quarantined
+    this.quarantined = this.register.listQuarantined()
+    const added = this.quarantined.filter((trait) => !before.includes(trait))
+    for (const trait of before) {
+      if (!this.quarantined.includes(trait)) this.journal.record({ name: 'call-cleared', data: { trait } })
+    }
+    for (const trait of added) this.recordQuarantine(trait)
+    this.listener?.handleQuarantine()
+  }
+
+  private recordQuarantine (trait: string): void {
+    const notice = this.register.createNotice(trait)
     const endpoints = notice?.crashes.map(({ endpoint }) => endpoint).join(' ') ?? ''
-    this.journal.record({ name: isQuarantined ? 'call-quarantined' : 'call-cleared', data: { fingerprint, endpoints } })
-    if (!isQuarantined) return
-    this.metrics.count('calls_quarantined_total')
-    this.listener?.handleQuarantine(fingerprint)
+    this.metrics.count('traits_quarantined_total')
+    this.journal.record({ name: 'call-quarantined', data: { trait, companions: notice?.companions.join(' ') ?? '', endpoints } })
   }
 }
--- a/packages/clementineloft/src/lib/forwarding/forwarding-entry.ts
+++ b/packages/clementineloft/src/lib/forwarding/forwarding-entry.ts
@@ -33,7 +33,11 @@
   const silent = context.directory.applyReport(message.address, message.report, message.entries)
   if (silent !== undefined) {
     context.journal.record({ name: 'endpoint-silent', endpoint: silent.address, detail: 'the endpoint does not answer its sidecar' })
-    for (const run of [...context.runs]) run.failover?.handleSilentEndpoint(silent)
+    context.crashes.recordSilence(silent)
+    for (const run of [...context.runs]) {
+      run.recordSilence(silent)
+      run.failover?.handleSilentEndpoint(silent)
+    }
   }
   context.resumeWaiting()
 }
@@ -64,8 +68,8 @@
   )
   const news = new NoticeBatcher(clock, (notices) => { reports.sendCrashes(notices, random) })
   context.crashes.subscribe({
-    handleQuarantine: (fingerprint) => {
-      for (const run of [...context.runs]) run.handleQuarantine(fingerprint)
+    handleQuarantine: () => {
+      for (const run of [...context.runs]) run.handleQuarantine()
     },
     handleNews: (notices) => { news.add(notices) }
   })
--- a/packages/clementineloft/src/lib/forwarding/forwarding-host.ts
+++ b/packages/clementineloft/src/lib/forwarding/forwarding-host.ts
@@ -6,9 +6,9 @@
 import type { RouteTable } from '@clementineloft/routing'
 import { CallHost } from '../callers/call-host.js'
 import type { AcceptedCall } from '../callers/call-host.js'
-import { computeCallFingerprint } from './call-fingerprint.js'
 import type { ForwardedCall } from './call-protocol.js'
 import { CallRun } from './call-run.js'
+import { computeCallTraits } from './call-traits.js'
 import type { ForwardingContext } from './forwarding-context.js'
 
 /** Admits calls by the current routes. */
@@ -46,8 +46,8 @@
       start: (body, _request, response) => {
         const service = context.placement.pickService(route)
         if (service === undefined) throw createError(ErrorKind.noCapacity, `route "${route.name}" has no target service`)
-        const fingerprint = computeCallFingerprint(call, team?.name, body)
-        const run = new CallRun(context, { call, route, service, rank, body, fingerprint, arrivedMs, ...(team === undefined ? {} : { team: team.name }) }, response)
+        const traits = computeCallTraits(call, service, team?.name, body)
+        const run = new CallRun(context, { call, route, service, rank, body, traits, arrivedMs, ...(team === undefined ? {} : { team: team.name }) }, response)
         context.runs.add(run)
         run.start()
       }
--- a/packages/clementineloft/src/lib/forwarding/notice-batcher.ts
+++ b/packages/clementineloft/src/lib/forwarding/notice-batcher.ts
@@ -7,9 +7,9 @@
 /** Time for which notices are collected, in milliseconds. */
 const collectMs = 10
 /** Maximum number of notices in one message, so that a datagram is not split. */
-const maxNotices = 12
+const maxNotices = 8
 
-/** Batches notices; of several for the same fingerprint it sends the latest. */
+/** Batches notices; of several for the same trait it sends the latest. */
 export class NoticeBatcher {
   private readonly pending = new Map<string, CrashNotice>()
 
@@ -22,7 +22,7 @@
   /** Adds notices, which are sent within {@link collectMs}. */
   add (notices: readonly CrashNotice[]): void {
     if (notices.length > 0 && this.pending.size === 0) this.clock.schedule(collectMs, () => { this.flush() })
-    for (const notice of notices) this.pending.set(notice.fingerprint, notice)
+    for (const notice of notices) this.pending.set(notice.trait, notice)
   }
 
   private flush (): void {
--- a/packages/clementineloft/src/lib/forwarding/report-codec.ts
+++ b/packages/clementineloft/src/lib/forwarding/report-codec.ts
@@ -3,7 +3,7 @@
  * a second, so the encoding is compact: a quarter of the size of the same report in JSON.
  */
 import { createError, ErrorKind } from '@clementineloft/kernel'
-import type { CrashNotice, EndpointReport, LayerSpan } from '@clementineloft/routing'
+import type { CrashAge, CrashNotice, EndpointReport, LayerSpan } from '@clementineloft/routing'
 import { clementineloft as wire } from '../../../generated/report.js'
 
 /** Checksums of the replicas of platform objects in a process that watches their latest state. */
@@ -63,17 +63,21 @@
   pace: report.pace
 })
 
-const formatNotice = ({ fingerprint, crashes, answeredAgeMs }: CrashNotice): wire.ICrashNotice => ({
-  fingerprint,
-  crashes: crashes.map(({ endpoint, ageMs, heldMs }) => ({ endpoint, ageMs: Math.round(ageMs), heldMs: Math.round(heldMs) })),
+const formatNotice = ({ trait, crashes, companions, answeredAgeMs }: CrashNotice): wire.ICrashNotice => ({
+  trait,
+  crashes: crashes.map(({ ageMs, heldMs, ...crash }) => ({ ...crash, ageMs: Math.round(ageMs), heldMs: Math.round(heldMs) })),
+  companions,
   ...(answeredAgeMs === undefined ? {} : { isAnswered: true, answeredAgeMs: Math.round(answeredAgeMs) })
 })
 
-const parseNotice = ({ fingerprint, crashes, isAnswered, answeredAgeMs }: wire.CrashNotice): CrashNotice => {
-  if (fingerprint === '') throw createError(ErrorKind.badRequest, 'the crash notice has no fingerprint')
+const parseCrash = ({ endpoint, ageMs, heldMs, isBeginning }: wire.CrashAge): CrashAge => ({ endpoint, ageMs, heldMs, isBeginning })
+
+const parseNotice = ({ trait, crashes, companions, isAnswered, answeredAgeMs }: wire.CrashNotice): CrashNotice => {
+  if (trait === '') throw createError(ErrorKind.badRequest, 'the crash notice names no trait')
   return {
-    fingerprint,
-    crashes: crashes.map((crash) => ({ endpoint: crash.endpoint ?? '', ageMs: crash.ageMs ?? 0, heldMs: crash.heldMs ?? 0 })),
+    trait,
+    crashes: crashes.map((crash) => parseCrash(crash as wire.CrashAge)),
+    companions,
     ...(isAnswered ? { answeredAgeMs } : {})
   }
 }
--- a/packages/clementineloft/src/test/report-codec_test.ts
+++ b/packages/clementineloft/src/test/report-codec_test.ts
@@ -35,14 +35,14 @@
 
 test('notices of crashes survive encoding with a report, alone, and with a request', () => {
   const crashes = [
-    { fingerprint: 'f1', crashes: [{ endpoint: 'w-1@5', ageMs: 12, heldMs: 300 }, { endpoint: 'w-2@5', ageMs: 3_000_000, heldMs: 0 }] },
-    { fingerprint: 'f2', crashes: [{ endpoint: 'w-1@5', ageMs: 0, heldMs: 5 }], answeredAgeMs: 0 }
+    { trait: 'f1', companions: ['f1', 'f2'], crashes: [{ endpoint: 'w-1@5', ageMs: 12, heldMs: 300, isBeginning: true }, { endpoint: 'w-2@5', ageMs: 3_000_000, heldMs: 0, isBeginning: false }] },
+    { trait: 'f2', companions: [], crashes: [{ endpoint: 'w-1@5', ageMs: 0, heldMs: 5, isBeginning: false }], answeredAgeMs: 0 }
   ]
   assert.deepEqual(decodeReport(encodeReport({ ...message, crashes })), { ...message, crashes })
   const { report, checksums, ...envelope } = message
   assert.deepEqual(decodeReport(encodeReport({ ...envelope, crashes, isCrashesOnly: true })), { ...envelope, crashes, isCrashesOnly: true })
   assert.deepEqual(decodeRequest(encodeRequest({ address: 'a:1', crashes })), { address: 'a:1', crashes })
-  assert.throws(() => decodeRequest(encodeRequest({ address: 'a:1', crashes: [{ fingerprint: '', crashes: [] }] })), (error: unknown) => getErrorKind(error) === ErrorKind.badRequest)
+  assert.throws(() => decodeRequest(encodeRequest({ address: 'a:1', crashes: [{ trait: '', companions: [], crashes: [] }] })), (error: unknown) => getErrorKind(error) === ErrorKind.badRequest)
 })
 
 test('rejects invalid bytes, a request without an address and an assignment without layers', () => {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,6 +4,7 @@
 export * from './lib/admission-control.js'
 export * from './lib/alignment.js'
 export * from './lib/attempt-outcomes.js'
+export * from './lib/crash-notice.js'
 export * from './lib/crash-register.js'
 export * from './lib/engine-executor.js'
 export * from './lib/engine-reconciler.js'
--- a/packages/routing/src/lib/crash-register.ts
+++ b/packages/routing/src/lib/crash-register.ts
@@ -1,26 +1,44 @@
 /**
- * Records which requests were running when an endpoint crashed, so that a request that crashes endpoints is not retried on
- * one endpoint after another.
+ * Records which requests were running when an endpoint crashed, so that requests that crash endpoints are not sent to one
+ * endpoint after another.
  *
- * A request is identified by a fingerprint of its team and content, because a caller resends it under a new request ID.
- * After one crash, every request of the batch is a suspect. A request that was also running when a second endpoint crashed
- * is quarantined: entries and endpoints refuse it. A request that is answered did not cause the crashes around that time.
+ * A request is known by its traits: a fingerprint of its team and content, because a caller resends it under a new request
+ * ID, and the parts of its prompt that others may share. After one crash, the traits of every request at the endpoint are
+ * suspects. Those that explain two crashes are quarantined (crash-verdicts.ts): a request that has one of them is refused,
+ * as long as it has all traits that the suspected requests had in common. Requests that are answered clear their traits of
+ * the crashes around that time.
  */
 import type { Clock } from '@clementineloft/kernel'
+import type { CrashNotice, RequestCrash } from './crash-notice.js'
+import { countSeparateCrashes, findCrashingTraits } from './crash-verdicts.js'
+import type { SuspectedTrait } from './crash-verdicts.js'
 
-/** How long a crash is kept after its latest report, in milliseconds. */
-export const crashRetentionMs = 3_600_000
-/** Number of crashed endpoints from which a request is quarantined. */
-const minQuarantineEndpoints = 2
-/** Maximum number of fingerprints with crashes; suspects are evicted before quarantined ones, each the oldest first. */
-const maxFingerprints = 10_000
-/** Maximum number of fingerprints of answered requests. */
+/** How long a crash is kept, in milliseconds. */
+const crashRetentionMs = 3_600_000
+/** Maximum number of traits with crashes; suspects are evicted before quarantined ones, each the oldest first. */
+const maxTraits = 10_000
+/** Number of traits that are evicted together, so that an eviction costs little for each. */
+const evictionBatch = 500
+/** Maximum number of traits of answered requests. */
 const maxAnswered = 10_000
 /** Time for which a crash that quarantined nothing is told to other processes, in milliseconds. */
 const suspectNoticeMs = 30_000
-/** Maximum number of crashes kept for one fingerprint, the latest ones: more than decide anything. */
-const maxCrashes = 4
-/** Time after an answer in which crashes are not held against the request, in milliseconds. */
+/** Maximum number of crashes kept for one trait, the latest ones: more than decide anything. */
+const maxCrashes = 8
+/**
+ * Time for which a call is refused that its endpoint was beginning to answer when it crashed, in milliseconds: long enough
+ * that another call with the same cause tells them apart.
+ */
+const suspectPauseMs = 5000
+/**
+ * Time for which a prompt part is refused after two crashes, in milliseconds, by whether an endpoint was beginning to answer
+ * on it at all of them. Then it is tried again, since a part that many share may be suspected wrongly and, while it is
+ * refused, no answer clears it.
+ */
+const PartQuarantineMs = { beginning: 30_000, waiting: 5000 } as const
+/** Factor on that time for each further crash. */
+const partQuarantineFactor = 4
+/** Time after an answer in which crashes are not held against its traits, in milliseconds. */
 const answerValidityMs = 10_000
 
 /** One crash of one engine, with the fingerprints of the requests that it was running. */
@@ -29,43 +47,16 @@
   fingerprints: string[]
 }
 
-/** A crash of one endpoint while it had a request. Times are milliseconds of the clock. */
-export interface RequestCrash {
-  endpoint: string
-  /** When the request was sent there. */
-  sentMs: number
-  crashedMs: number
-}
-
-/** A {@link RequestCrash} as told to other processes: in ages, since the clocks of processes differ. */
-export interface CrashAge {
-  endpoint: string
-  /** Time since the crash, in milliseconds. */
-  ageMs: number
-  /** Time from sending the request to the crash, in milliseconds. */
-  heldMs: number
-}
-
-/** All that a process knows of one fingerprint, as told to other processes. */
-export interface CrashNotice {
-  fingerprint: string
-  crashes: CrashAge[]
-  /** Time since the request was last answered, in milliseconds; absent if it was not. */
-  answeredAgeMs?: number
-}
-
 /** Options of a {@link CrashRegister}. */
 export interface CrashRegisterOptions {
-  /**
-   * Time within which crashes of several endpoints count as one, since they have a common cause, in milliseconds. A crash
-   * under a request that was sent after the previous crash always counts.
-   */
+  /** Time within which crashes of several endpoints may have a common cause, in milliseconds. */
   commonCauseMs: number
 }
 
 interface CrashRecord {
   /** Latest crashes, by endpoint. */
   crashes: Map<string, RequestCrash>
+  companions: readonly string[]
   answeredMs: number
   expiresAtMs: number
 }
@@ -73,10 +64,14 @@
 /** Crashes in the whole fleet, as known to one process. */
 export class CrashRegister {
   private readonly records = new Map<string, CrashRecord>()
-  /** Time of the latest answer to requests, the oldest first. */
+  /** Time of the latest answer to requests with a trait, the oldest first. */
   private readonly answeredMs = new Map<string, number>()
-  /** Fingerprints in the order in which they are told to other processes. */
+  /** Traits in the order in which they are told to other processes. */
   private readonly rotation = new Set<string>()
+  /** Traits with more than one crash. */
+  private readonly repeated = new Set<string>()
+  /** Quarantined traits; `undefined` after a change. */
+  private quarantined: Set<string> | undefined
 
   constructor (
     private readonly clock: Clock,
@@ -84,131 +79,189 @@
   ) {}
 
   /**
-   * Records a crash.
+   * Records a crash under requests of which only fingerprints are known.
    *
    * @returns whether the report contains a fingerprint not yet recorded for this endpoint
    */
-  record (report: CrashReport): boolean {
-    const crashedMs = this.clock.now()
-    let isNew = false
-    for (const fingerprint of report.fingerprints) {
-      isNew = this.recordCrash(fingerprint, { endpoint: report.endpoint, sentMs: crashedMs, crashedMs }) || isNew
-    }
-    return isNew
+  record ({ endpoint, fingerprints }: CrashReport): boolean {
+    const nowMs = this.clock.now()
+    const crash = { endpoint, sentMs: nowMs, crashedMs: nowMs, isBeginning: false }
+    const changed = fingerprints.flatMap((fingerprint) => this.recordCrash([fingerprint], crash))
+    return changed.length > 0
   }
 
   /**
    * Records a crash of one endpoint while it had a request.
    *
-   * @returns whether the crash was not known
+   * @param traits - all traits of the request
+   * @returns the traits for which the crash was not known
    */
-  recordCrash (fingerprint: string, crash: RequestCrash): boolean {
-    const isNew = this.addCrash(fingerprint, crash)
+  recordCrash (traits: readonly string[], crash: RequestCrash): string[] {
+    const changed = traits.filter((trait) => this.addCrash(trait, traits, crash))
     this.trim()
-    return isNew
+    return changed
   }
 
   /**
    * Records what another process knows.
    *
-   * @returns whether the notice contains a crash that this process did not know, or clears the request of one
+   * @returns whether the notice contains anything that this process did not know
    */
-  merge (notice: CrashNotice): boolean {
+  merge ({ trait, crashes, companions, answeredAgeMs = Infinity }: CrashNotice): boolean {
     const nowMs = this.clock.now()
-    const { fingerprint, crashes, answeredAgeMs = Infinity } = notice
     let isNew = false
-    for (const { endpoint, ageMs, heldMs } of crashes) {
+    for (const { ageMs, heldMs, ...crash } of crashes) {
       const crashedMs = nowMs - ageMs
-      if (ageMs < crashRetentionMs) isNew = this.recordCrash(fingerprint, { endpoint, crashedMs, sentMs: crashedMs - heldMs }) || isNew
+      if (ageMs < crashRetentionMs) isNew = this.addCrash(trait, companions, { ...crash, crashedMs, sentMs: crashedMs - heldMs }) || isNew
     }
-    const countedBefore = this.countCrashes(fingerprint)
-    const record = this.records.get(fingerprint)
-    if (record !== undefined) record.answeredMs = Math.max(record.answeredMs, nowMs - answeredAgeMs)
-    const isCleared = this.countCrashes(fingerprint) < countedBefore
-    return isNew || isCleared
+    this.trim()
+    return this.applyAnswer(trait, nowMs - answeredAgeMs) || isNew
   }
 
   /**
-   * Records that a request has been answered, which clears it of the crashes until then.
+   * Records that a request has been answered, which clears its traits of the crashes until then.
    *
-   * @returns whether it was a suspect
+   * @returns the traits that were suspects
    */
-  recordAnswer (fingerprint: string): boolean {
+  recordAnswer (traits: readonly string[]): string[] {
     const nowMs = this.clock.now()
-    this.answeredMs.delete(fingerprint)
-    this.answeredMs.set(fingerprint, nowMs)
+    for (const trait of traits) {
+      this.answeredMs.delete(trait)
+      this.answeredMs.set(trait, nowMs)
+    }
     for (const [oldest, answeredMs] of this.answeredMs) {
       if (this.answeredMs.size <= maxAnswered && answeredMs > nowMs - answerValidityMs) break
       this.answeredMs.delete(oldest)
     }
-    const wasSuspect = this.isSuspect(fingerprint)
-    const record = this.records.get(fingerprint)
-    if (record !== undefined) record.answeredMs = nowMs
-    return wasSuspect
+    return traits.filter((trait) => this.applyAnswer(trait, nowMs))
+  }
+
+  /** @returns whether requests with the trait were running at one or more crashes that nothing has cleared it of */
+  isSuspect (trait: string): boolean {
+    return this.listValidCrashes(trait).length > 0
+  }
+
+  /** @returns whether a request of which only this trait is known is refused */
+  isQuarantined (trait: string): boolean {
+    return this.isRefused([trait])
+  }
+
+  /** @returns whether a request is refused, see {@link computeRefusalMs} */
+  isRefused (traits: readonly string[]): boolean {
+    return this.computeRefusalMs(traits) > 0
   }
 
-  /** @returns whether the request was running at one or more crashes */
-  isSuspect (fingerprint: string): boolean {
-    return this.countCrashes(fingerprint) > 0
+  /**
+   * A request is refused if it has a quarantined trait together with all that the suspected requests had in common, or if an
+   * endpoint has just crashed while it was beginning to answer the same content.
+   *
+   * @param traits - traits of the request; the first one is its fingerprint
+   * @returns time for which a request with these traits is refused, in milliseconds; 0 if it is not
+   */
+  computeRefusalMs (traits: readonly string[]): number {
+    if (this.records.size === 0) return 0
+    const quarantined = this.getQuarantined()
+    const deciding = traits.filter((trait) => quarantined.has(trait) && this.hasAllCompanions(trait, traits))
+    const untilMs = deciding.map((trait) => trait === traits[0] ? this.find(trait)?.expiresAtMs ?? 0 : this.computePartQuarantineEnd(trait))
+    return Math.max(this.computePauseMs(traits[0] ?? ''), ...untilMs.map((ms) => ms - this.clock.now()))
   }
 
-  /** @returns whether the request was running at crashes of at least {@link minQuarantineEndpoints} endpoints */
-  isQuarantined (fingerprint: string): boolean {
-    return this.countCrashes(fingerprint) >= minQuarantineEndpoints
+  /** @returns the quarantined traits */
+  listQuarantined (): string[] {
+    return [...this.getQuarantined()]
   }
 
-  /** Removes a suspect that has completed while running alone; a quarantined request stays. */
-  clear (fingerprint: string): void {
-    if (!this.isQuarantined(fingerprint)) this.remove(fingerprint)
+  /** Removes a suspect that has completed while running alone; a quarantined one stays. */
+  clear (trait: string): void {
+    if (!this.isQuarantined(trait)) this.remove(trait)
   }
 
-  /** @returns what this process knows of a fingerprint; `undefined` if it was not running at any crash */
-  createNotice (fingerprint: string): CrashNotice | undefined {
-    const record = this.find(fingerprint)
+  /** @returns what this process knows of a trait; `undefined` if it was at no crash */
+  createNotice (trait: string): CrashNotice | undefined {
+    const record = this.find(trait)
     if (record === undefined) return undefined
     const nowMs = this.clock.now()
     return {
-      fingerprint,
-      crashes: [...record.crashes.values()].map(({ endpoint, sentMs, crashedMs }) => ({ endpoint, ageMs: nowMs - crashedMs, heldMs: crashedMs - sentMs })),
+      trait,
+      crashes: [...record.crashes.values()].map(({ sentMs, crashedMs, ...crash }) => ({ ...crash, ageMs: nowMs - crashedMs, heldMs: crashedMs - sentMs })),
+      companions: [...record.companions],
       ...(record.answeredMs === -Infinity ? {} : { answeredAgeMs: nowMs - record.answeredMs })
     }
   }
 
-  /** @returns notices of quarantined requests and recent suspects; successive calls go through all of them in turn */
+  /** @returns notices of quarantined traits and recent suspects; successive calls go through all of them in turn */
   listNextNotices (maxNotices: number): CrashNotice[] {
     const notices: CrashNotice[] = []
-    const told: string[] = []
-    for (const fingerprint of this.rotation) {
+    for (const trait of this.rotation) {
       if (notices.length >= maxNotices) break
-      this.rotation.delete(fingerprint)
-      const notice = this.createNotice(fingerprint)
-      if (notice === undefined || !this.isWorthTelling(notice)) continue
-      notices.push(notice)
-      told.push(fingerprint)
+      this.rotation.delete(trait)
+      const notice = this.createNotice(trait)
+      if (notice !== undefined && this.isWorthTelling(notice)) notices.push(notice)
     }
-    for (const fingerprint of told) this.rotation.add(fingerprint)
+    for (const { trait } of notices) this.rotation.add(trait)
     return notices
   }
 
-  private isWorthTelling ({ fingerprint, crashes }: CrashNotice): boolean {
-    return this.isQuarantined(fingerprint) || crashes.some(({ ageMs }) => ageMs < suspectNoticeMs)
+  private isWorthTelling ({ trait, crashes }: CrashNotice): boolean {
+    return this.getQuarantined().has(trait) || crashes.some(({ ageMs }) => ageMs < suspectNoticeMs)
   }
 
-  private addCrash (fingerprint: string, crash: RequestCrash): boolean {
-    const record = this.find(fingerprint) ?? {
-      crashes: new Map<string, RequestCrash>(), answeredMs: this.answeredMs.get(fingerprint) ?? -Infinity, expiresAtMs: 0
-    }
-    const isNew = this.addToLatest(record.crashes, crash)
+  /** A companion that has been answered, or is no longer known, is not the cause and need not be there. */
+  private hasAllCompanions (trait: string, traits: readonly string[]): boolean {
+    const companions = this.find(trait)?.companions
+    if (companions === undefined) return false
+    return companions.every((companion) => traits.includes(companion) || !this.isSuspect(companion))
+  }
+
+  /** @returns when calls with a quarantined part are tried again, in milliseconds of the clock */
+  private computePartQuarantineEnd (part: string): number {
+    const crashes = this.listValidCrashes(part)
+    const furtherCrashes = countSeparateCrashes(crashes, this.options.commonCauseMs) - 2
+    const firstMs = crashes.every(({ isBeginning }) => isBeginning) ? PartQuarantineMs.beginning : PartQuarantineMs.waiting
+    const quarantineMs = Math.min(crashRetentionMs, firstMs * partQuarantineFactor ** furtherCrashes)
+    return Math.max(...crashes.map(({ crashedMs }) => crashedMs)) + quarantineMs
+  }
+
+  private computePauseMs (fingerprint: string): number {
+    const beginning = this.listValidCrashes(fingerprint).filter(({ isBeginning }) => isBeginning)
+    const latestMs = Math.max(-Infinity, ...beginning.map(({ crashedMs }) => crashedMs))
+    return Math.max(0, latestMs + suspectPauseMs - this.clock.now())
+  }
+
+  private getQuarantined (): ReadonlySet<string> {
+    if (this.quarantined !== undefined) return this.quarantined
+    const suspects = [...this.repeated].map((trait) => this.describeSuspect(trait))
+    this.quarantined = new Set(findCrashingTraits(suspects, this.options.commonCauseMs))
+    return this.quarantined
+  }
+
+  private describeSuspect (trait: string): SuspectedTrait {
+    const companions = this.find(trait)?.companions.filter((companion) => this.isSuspect(companion)) ?? []
+    return { trait, crashes: this.listValidCrashes(trait), companions: companions.length }
+  }
+
+  /** @returns whether the crash or the companions were not known */
+  private addCrash (trait: string, companions: readonly string[], crash: RequestCrash): boolean {
+    const known = this.find(trait)
+    const record = known ?? { crashes: new Map<string, RequestCrash>(), companions, answeredMs: this.answeredMs.get(trait) ?? -Infinity, expiresAtMs: 0 }
+    const isNewCrash = this.addToLatest(record.crashes, crash)
+    const common = record.companions.filter((companion) => companions.includes(companion))
+    const isNew = isNewCrash || common.length < record.companions.length
+    record.companions = common
     record.expiresAtMs = Math.max(record.expiresAtMs, crash.crashedMs + crashRetentionMs)
-    this.records.delete(fingerprint)
-    this.records.set(fingerprint, record)
-    if (isNew) this.rotation.add(fingerprint)
-    return isNew
+    if (!isNew) return false
+    this.records.delete(trait)
+    this.records.set(trait, record)
+    this.rotation.add(trait)
+    if (record.crashes.size > 1) this.repeated.add(trait)
+    this.quarantined = undefined
+    return true
   }
 
-  /** Adds a crash if it is among the latest ones. @returns whether it was added */
+  /** Adds a crash if it is among the latest ones, or stronger evidence of a known one. @returns whether it was added */
   private addToLatest (crashes: Map<string, RequestCrash>, crash: RequestCrash): boolean {
-    if (crashes.has(crash.endpoint)) return false
+    const known = crashes.get(crash.endpoint)
+    if (known !== undefined && (known.isBeginning || !crash.isBeginning)) return false
     crashes.set(crash.endpoint, crash)
     if (crashes.size <= maxCrashes) return true
     const oldest = [...crashes.values()].reduce((one, other) => other.crashedMs < one.crashedMs ? other : one)
@@ -216,43 +269,43 @@
     return oldest !== crash
   }
 
-  /** @returns number of crashes with separate causes at which the request was running, and which no answer has cleared */
-  private countCrashes (fingerprint: string): number {
-    const record = this.find(fingerprint)
-    if (record === undefined) return 0
-    let crashes = 0
-    let countedMs = -Infinity
-    for (const { sentMs, crashedMs } of [...record.crashes.values()].sort((one, other) => one.crashedMs - other.crashedMs)) {
-      if (crashedMs <= record.answeredMs + answerValidityMs) continue
-      const hasCommonCause = sentMs < countedMs && crashedMs < countedMs + this.options.commonCauseMs
-      if (hasCommonCause) continue
-      countedMs = crashedMs
-      crashes++
-    }
-    return crashes
+  /** @returns whether the answer clears the trait of a crash */
+  private applyAnswer (trait: string, answeredMs: number): boolean {
+    const record = this.find(trait)
+    if (record === undefined || answeredMs <= record.answeredMs) return false
+    const validBefore = this.listValidCrashes(trait).length
+    record.answeredMs = answeredMs
+    if (this.listValidCrashes(trait).length === validBefore) return false
+    this.quarantined = undefined
+    return true
+  }
+
+  /** @returns the crashes of which no answer has cleared the trait */
+  private listValidCrashes (trait: string): RequestCrash[] {
+    const record = this.find(trait)
+    if (record === undefined) return []
+    return [...record.crashes.values()].filter(({ crashedMs }) => crashedMs > record.answeredMs + answerValidityMs)
   }
 
-  private find (fingerprint: string): CrashRecord | undefined {
-    const record = this.records.get(fingerprint)
+  private find (trait: string): CrashRecord | undefined {
+    const record = this.records.get(trait)
     if (record === undefined || record.expiresAtMs > this.clock.now()) return record
-    this.remove(fingerprint)
+    this.remove(trait)
     return undefined
   }
 
-  private remove (fingerprint: string): void {
-    this.records.delete(fingerprint)
-    this.rotation.delete(fingerprint)
+  private remove (trait: string): void {
+    this.records.delete(trait)
+    this.rotation.delete(trait)
+    this.repeated.delete(trait)
+    this.quarantined = undefined
   }
 
   private trim (): void {
-    if (this.records.size <= maxFingerprints) return
-    for (const fingerprint of [...this.records.keys()]) {
-      if (this.records.size <= maxFingerprints) return
-      if (!this.isQuarantined(fingerprint)) this.remove(fingerprint)
-    }
-    for (const fingerprint of [...this.records.keys()]) {
-      if (this.records.size <= maxFingerprints) return
-      this.remove(fingerprint)
-    }
+    if (this.records.size <= maxTraits) return
+    const quarantined = new Set(this.getQuarantined())
+    const oldest = [...this.records.keys()]
+    const order = [...oldest.filter((trait) => !quarantined.has(trait)), ...oldest.filter((trait) => quarantined.has(trait))]
+    for (const trait of order.slice(0, this.records.size - maxTraits + evictionBatch)) this.remove(trait)
   }
 }
--- a/packages/routing/src/test/crash-register_test.ts
+++ b/packages/routing/src/test/crash-register_test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import { ManualClock } from '@clementineloft/kernel'
 import { CrashRegister } from '@clementineloft/routing'
+import type { RequestCrash } from '@clementineloft/routing'
 
 test('one crash makes a request suspect, a second endpoint quarantines it, a repeat at the same endpoint does not', () => {
   const register = new CrashRegister(new ManualClock())
@@ -22,27 +23,30 @@
   assert.equal(register.isSuspect('old'), false)
 })
 
+const createCrash = (endpoint: string, crashedMs: number, changes: Partial<RequestCrash> = {}): RequestCrash =>
+  ({ endpoint, sentMs: crashedMs, crashedMs, isBeginning: false, ...changes })
+
 test('crashes of several endpoints with a common cause count as one, a crash under a repeat that was sent later does not', () => {
   const register = new CrashRegister(new ManualClock(), { commonCauseMs: 40 })
-  register.recordCrash('p', { endpoint: 'e1', sentMs: 0, crashedMs: 100 })
-  register.recordCrash('p', { endpoint: 'e2', sentMs: 90, crashedMs: 139 })
+  register.recordCrash(['p'], createCrash('e1', 100, { sentMs: 0 }))
+  register.recordCrash(['p'], createCrash('e2', 139, { sentMs: 90 }))
   assert.deepEqual([register.isSuspect('p'), register.isQuarantined('p')], [true, false])
-  register.recordCrash('p', { endpoint: 'e3', sentMs: 90, crashedMs: 140 })
+  register.recordCrash(['p'], createCrash('e3', 140, { sentMs: 90 }))
   assert.equal(register.isQuarantined('p'), true)
-  register.recordCrash('q', { endpoint: 'e1', sentMs: 0, crashedMs: 100 })
-  register.recordCrash('q', { endpoint: 'e2', sentMs: 101, crashedMs: 102 })
+  register.recordCrash(['q'], createCrash('e4', 100, { sentMs: 0 }))
+  register.recordCrash(['q'], createCrash('e5', 102, { sentMs: 101 }))
   assert.equal(register.isQuarantined('q'), true)
 })
 
 test('a request that was answered around a crash is not suspected, and an answer ends a wrong quarantine', () => {
   const clock = new ManualClock()
   const register = new CrashRegister(clock)
-  register.recordAnswer('popular')
+  register.recordAnswer(['popular'])
   clock.advance(9000)
   register.record({ endpoint: 'e1', fingerprints: ['popular', 'rare'] })
   register.record({ endpoint: 'e2', fingerprints: ['popular', 'rare'] })
   assert.deepEqual([register.isSuspect('popular'), register.isQuarantined('rare')], [false, true])
-  assert.equal(register.recordAnswer('rare'), true)
+  assert.deepEqual(register.recordAnswer(['rare']), ['rare'])
   assert.equal(register.isSuspect('rare'), false)
 })
 
@@ -56,7 +60,7 @@
   }
   assert.deepEqual([one.isQuarantined('p'), other.isQuarantined('p')], [true, true])
   for (const notice of one.listNextNotices(10)) assert.equal(other.merge(notice), false, 'known notices are not passed on again')
-  one.recordAnswer('p')
+  one.recordAnswer(['p'])
   for (const notice of one.listNextNotices(10)) assert.equal(other.merge(notice), true)
   assert.equal(other.isQuarantined('p'), false)
 })
@@ -67,3 +71,66 @@
   register.record({ endpoint: 'e3', fingerprints: Array.from({ length: 20_000 }, (_, index) => `flood-${index}`) })
   assert.equal(register.isQuarantined('p'), true)
 })
+
+test('of prompt parts that calls share, the one at every crash is quarantined, without the parts that answered calls hold', () => {
+  const clock = new ManualClock()
+  clock.advance(60_000)
+  const register = new CrashRegister(clock)
+  register.recordAnswer(['sound', 'first'])
+  register.recordCrash(['call-1', 'first', 'deadly'], createCrash('e1', clock.now()))
+  register.recordCrash(['call-2', 'first', 'deadly'], createCrash('e2', clock.now()))
+  assert.equal(register.isRefused(['call-3', 'first', 'deadly']), true)
+  assert.equal(register.isRefused(['call-4', 'other', 'deadly']), true)
+  assert.equal(register.isRefused(['call-5', 'first']), false)
+})
+
+test('until an answer or a crash tells two parts apart, only calls with both are refused', () => {
+  const register = new CrashRegister(new ManualClock())
+  register.recordCrash(['call-1', 'rare', 'deadly'], createCrash('e1', 1))
+  register.recordCrash(['call-2', 'rare', 'deadly'], createCrash('e2', 2))
+  assert.equal(register.isRefused(['call-3', 'rare', 'deadly']), true)
+  assert.deepEqual([register.isRefused(['call-4', 'rare']), register.isRefused(['call-5', 'deadly'])], [false, false])
+  register.recordCrash(['call-5', 'deadly'], createCrash('e3', 3))
+  assert.deepEqual([register.isRefused(['call-6', 'rare']), register.isRefused(['call-7', 'deadly'])], [false, true])
+})
+
+test('calls that only waited at endpoints which a deadly part crashed are not quarantined with it', () => {
+  const register = new CrashRegister(new ManualClock())
+  for (const [index, endpoint] of ['e1', 'e2', 'e3'].entries()) {
+    register.recordCrash([`call-${index}`, 'first', 'deadly'], createCrash(endpoint, index, { isBeginning: true }))
+    if (index > 0) register.recordCrash(['innocent', 'first'], createCrash(endpoint, index))
+  }
+  assert.equal(register.isRefused(['call-9', 'first', 'deadly']), true)
+  assert.equal(register.isRefused(['innocent', 'first']), false)
+})
+
+test('a call at the beginning of whose answer an endpoint crashed is refused for a while, calls that share parts with it are not', () => {
+  const clock = new ManualClock()
+  const register = new CrashRegister(clock)
+  register.recordCrash(['call-1', 'part'], createCrash('e1', clock.now(), { isBeginning: true }))
+  register.recordCrash(['call-2', 'part-2'], createCrash('e1', clock.now()))
+  assert.deepEqual([register.isRefused(['call-1', 'part']), register.isRefused(['call-3', 'part']), register.isRefused(['call-2', 'part-2'])], [true, false, false])
+  clock.advance(1000)
+  assert.equal(register.computeRefusalMs(['call-1', 'part']), 4000)
+  clock.advance(4000)
+  assert.equal(register.isRefused(['call-1', 'part']), false)
+})
+
+test('a part that two crashes accuse is tried again after a while, later with each further crash, a content is not', () => {
+  const clock = new ManualClock()
+  const register = new CrashRegister(clock)
+  for (const endpoint of ['e1', 'e2']) register.recordCrash([`call-${endpoint}`, 'part'], createCrash(endpoint, clock.now()))
+  for (const endpoint of ['e3', 'e4']) register.recordCrash(['content'], createCrash(endpoint, clock.now()))
+  assert.equal(register.computeRefusalMs(['call-9', 'part']), 5000)
+  clock.advance(5000)
+  assert.deepEqual([register.isRefused(['call-9', 'part']), register.isRefused(['content'])], [false, true])
+  register.recordCrash(['call-9', 'part'], createCrash('e5', clock.now()))
+  assert.equal(register.computeRefusalMs(['call-10', 'part']), 20_000)
+})
+
+test('a repeat sent right after a crash counts separately in a process that knows it from rounded ages', () => {
+  const register = new CrashRegister(new ManualClock(), { commonCauseMs: 40 })
+  const crashes = [{ endpoint: 'e1', ageMs: 25, heldMs: 20, isBeginning: false }, { endpoint: 'e2', ageMs: 2, heldMs: 24, isBeginning: false }]
+  register.merge({ trait: 'p', crashes, companions: ['p'] })
+  assert.equal(register.isQuarantined('p'), true)
+})
--- a/packages/stand-ins/src/emulator/emulated-call.ts
+++ b/packages/stand-ins/src/emulator/emulated-call.ts
@@ -50,6 +50,8 @@
   readonly bodies = new Set<string>()
   /** Identities of prompt parts that make a call such a one. */
   readonly parts = new Set<string>()
+  /** Whether the endpoint of the last part of the path crashes instead of the one of the first. */
+  concernsLastPart = false
   /** Time from a crash to the start of the next incarnation, in milliseconds. */
   restartMs = 1000
   /** Whether the platform has stopped, so that no endpoint starts again. */
--- a/packages/stand-ins/src/emulator/emulated-platform.ts
+++ b/packages/stand-ins/src/emulator/emulated-platform.ts
@@ -39,6 +39,8 @@
   entries: number
   workers: number
   services: number
+  /** Types of the model endpoints, in turn; alternating if absent. */
+  workerTypes?: string[]
   /** Whether traffic to each endpoint passes through a relay, which can inject network faults. */
   hasRelays?: boolean
 }
@@ -67,13 +69,13 @@
 
   /** Starts all parts, and waits until every model endpoint holds layers and every entry is ready. */
   async start (): Promise<void> {
-    const { network, entries, workers, services } = this.options
+    const { network, entries, workers, services, workerTypes = ['large', 'small'] } = this.options
     this.addRoute('streams', { pathPrefix: '/streams/', type: 'streaming', service: 'model', resumable: true, timeoutMs: 8000, sloMs: 500, itlTargetMs: 200 })
     this.addRoute('bookings', { pathPrefix: '/bookings/', type: 'non_idempotent', service: 'desk', maxAttempts: 1 })
     this.addRoute('lookups', { pathPrefix: '/lookups/', type: 'idempotent', service: 'desk' })
     this.writeConfig()
     for (let index = 0; index < workers; index++) {
-      const type = index % 2 === 0 ? 'large' : 'small'
+      const type = workerTypes[index % workerTypes.length] as string
       const worker = new EmulatedWorker(this.fleet, this.store, 'model', `${network}.2.${index + 1}`, endpointPort, `zone-${index % 2}`, type, this.startRelay(`${network}.2.${index + 1}`, `${network}.4.${index + 1}`))
       this.workers.push(worker)
       await worker.start()
--- a/packages/stand-ins/src/emulator/emulated-worker.ts
+++ b/packages/stand-ins/src/emulator/emulated-worker.ts
@@ -47,6 +47,11 @@
   readonly crashTriggers = new CrashTriggers()
   /** Calls that produced an event on a path that does not contain every layer exactly once and in order. */
   readonly invalidPathCallIds: string[] = []
+
+  /** @returns the endpoint that crashes under a call: the first of its path, or the last */
+  findCrashing (first: EmulatedWorker, parts: readonly PathPart[]): EmulatedWorker {
+    return this.crashTriggers.concernsLastPart ? this.workers.get(parts.at(-1)?.address ?? '') ?? first : first
+  }
 }
 
 /** One model endpoint. */
@@ -139,7 +144,8 @@
     setTimeout(() => { this.store.remove('servers', id) }, removeAfterMs).unref()
   }
 
-  private crashAndRestart (): void {
+  /** Crashes, and starts again after a while. */
+  crashAndRestart (): void {
     this.crash()
     this.fleet.crashTriggers.scheduleRestart(async () => { await this.start() })
   }
@@ -231,8 +237,7 @@
       }
       if (this.isSilent || this.isEmissionPaused || this.isStalled(stream, response)) return
       if (this.fleet.crashTriggers.isTriggeredBy(call)) {
-        clearInterval(timer)
-        this.crashAndRestart()
+        this.fleet.findCrashing(this, stream.parts).crashAndRestart()
         return
       }
       if (!isCompletePath(stream.parts)) this.fleet.invalidPathCallIds.push(call.id)
--- a/packages/stand-ins/src/test/crashing-prompt-parts_test.ts
+++ b/packages/stand-ins/src/test/crashing-prompt-parts_test.ts
@@ -3,7 +3,7 @@
  * alike, so that nothing related one crash to the next.
  */
 import assert from 'node:assert/strict'
-import { after, before, test } from 'node:test'
+import { test } from 'node:test'
 import { setTimeout as wait } from 'node:timers/promises'
 import { sendCall } from '../emulator/emulated-caller.js'
 import type { CallerAnswer } from '../emulator/emulated-caller.js'
@@ -19,17 +19,12 @@
 const minSoundCalls = 20
 const entryCount = 3
 const tickMs = 120
-const ticks = 120
+const ticks = 140
 const deadlyPart = 'dead01'
 const commonPart = 'aaaa01'
 
-const platform = new EmulatedPlatform({ network: '127.74', entries: entryCount, workers: 8, services: 1 })
-
-before(async () => { await platform.start() })
-after(async () => { await platform.stop() })
-
 /** Sends a stream whose prompt begins with the shared parts; its content and last part are its own. */
-const sendStream = async (number: number, name: string, sharedParts: readonly string[]): Promise<CallerAnswer> =>
+const sendStream = async (platform: EmulatedPlatform, number: number, name: string, sharedParts: readonly string[]): Promise<CallerAnswer> =>
   await sendCall({
     address: platform.getEntryAddress(1 + number % entryCount),
     host: emulatedHost,
@@ -44,10 +39,13 @@
 class RunLog {
   private readonly counts: Array<{ atMs: number, runs: number }> = []
 
-  constructor (private readonly ids: ReadonlySet<string>) {}
+  constructor (
+    private readonly platform: EmulatedPlatform,
+    private readonly ids: ReadonlySet<string>
+  ) {}
 
   record (): void {
-    const runs = platform.workers.flatMap((worker) => worker.runs).filter((id) => this.ids.has(id)).length
+    const runs = this.platform.workers.flatMap((worker) => worker.runs).filter((id) => this.ids.has(id)).length
     this.counts.push({ atMs: performance.now(), runs })
   }
 
@@ -67,17 +65,18 @@
   }
 }
 
-test('a prompt part that crashes endpoints is not sent to endpoint after endpoint, and calls that share the rest are served', async () => {
+/** Sends calls with the deadly part beside sound ones with the same first part, and checks the bounds. */
+const checkDay = async (platform: EmulatedPlatform): Promise<void> => {
   platform.fleet.crashTriggers.parts.add(deadlyPart)
   const deadlyIds = new Set<string>()
-  const runLog = new RunLog(deadlyIds)
+  const runLog = new RunLog(platform, deadlyIds)
   const sound: Array<{ sentMs: number, answer: CallerAnswer }> = []
   const calls: Array<Promise<void>> = []
   for (let tick = 0; tick < ticks; tick++) {
     const sentMs = performance.now()
     calls.push(
-      sendStream(tick, 'deadly', [commonPart, deadlyPart]).then((answer) => { deadlyIds.add(answer.id) }),
-      sendStream(tick + 1, 'sound', [commonPart]).then((answer) => { sound.push({ sentMs, answer }) })
+      sendStream(platform, tick, 'deadly', [commonPart, deadlyPart]).then((answer) => { deadlyIds.add(answer.id) }),
+      sendStream(platform, tick + 1, 'sound', [commonPart]).then((answer) => { sound.push({ sentMs, answer }) })
     )
     await wait(tickMs)
     runLog.record()
@@ -88,7 +87,29 @@
   const laterRuns = runLog.countSince(crashMs + contactMs)
   const laterSound = sound.filter(({ sentMs }) => sentMs > crashMs + 2 * contactMs)
   const served = laterSound.filter(({ answer }) => answer.status === 200 && answer.isComplete).length
-  assert.ok(laterRuns <= maxLaterRuns, `${laterRuns} runs later than ${contactMs} ms after the fifth crash, ${runLog.count()} in all; ${served} of ${laterSound.length} sound calls served; logs in ${platform.processes.folder}`)
-  assert.ok(laterSound.length >= minSoundCalls, `only ${laterSound.length} sound calls to judge by`)
-  assert.ok(served >= laterSound.length * minServedRatio, `${served} of ${laterSound.length} sound calls served after ${runLog.count()} crashes; logs in ${platform.processes.folder}`)
+  const logs = `logs in ${platform.processes.folder}`
+  assert.ok(laterRuns <= maxLaterRuns, `${laterRuns} runs later than ${contactMs} ms after the fifth crash, ${runLog.count()} in all; ${served} of ${laterSound.length} sound calls served; ${logs}`)
+  assert.ok(laterSound.length >= minSoundCalls, `only ${laterSound.length} sound calls to judge by, after ${runLog.count()} runs; ${logs}`)
+  assert.ok(served >= laterSound.length * minServedRatio, `${served} of ${laterSound.length} sound calls served after ${runLog.count()} runs; ${logs}`)
+}
+
+test('a prompt part that crashes endpoints is not sent to endpoint after endpoint, and calls that share the rest are served', async () => {
+  const platform = new EmulatedPlatform({ network: '127.74', entries: entryCount, workers: 8, services: 1 })
+  try {
+    await platform.start()
+    await checkDay(platform)
+  } finally {
+    await platform.stop()
+  }
+})
+
+test('a prompt part that crashes the last endpoint of each path is found too, although the first one goes on', async () => {
+  const platform = new EmulatedPlatform({ network: '127.75', entries: entryCount, workers: 12, services: 1, workerTypes: ['small'] })
+  platform.fleet.crashTriggers.concernsLastPart = true
+  try {
+    await platform.start()
+    await checkDay(platform)
+  } finally {
+    await platform.stop()
+  }
 })
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -222,31 +222,52 @@
     test: 'routing/dist/test/engine-executor_test.js'
   },
   {
-    mechanism: 'quarantine after crashes of two endpoints',
-    file: 'routing/dist/lib/crash-register.js',
-    from: '>= minQuarantineEndpoints',
+    mechanism: 'quarantine after two crashes',
+    file: 'routing/dist/lib/crash-verdicts.js',
+    from: '>= minQuarantineCrashes',
     to: '>= 99',
     test: 'routing/dist/test/crash-register_test.js'
   },
   {
     mechanism: 'crashes with a common cause count as one',
-    file: 'routing/dist/lib/crash-register.js',
+    file: 'routing/dist/lib/crash-verdicts.js',
     from: 'if (hasCommonCause)',
     to: 'if (false)',
     test: 'routing/dist/test/crash-register_test.js'
   },
   {
-    mechanism: 'an answer clears a request of crashes',
+    mechanism: 'crashes that a stronger suspect explains are not held against others',
+    file: 'routing/dist/lib/crash-verdicts.js',
+    from: '!explained.has(endpoint)',
+    to: 'endpoint !== undefined',
+    test: 'routing/dist/test/crash-register_test.js'
+  },
+  {
+    mechanism: 'a request is refused only if it has all that the suspects had in common',
     file: 'routing/dist/lib/crash-register.js',
-    from: 'crashedMs <= record.answeredMs + answerValidityMs',
-    to: 'false',
+    from: 'quarantined.has(trait) && this.hasAllCompanions(trait, traits)',
+    to: 'quarantined.has(trait)',
     test: 'routing/dist/test/crash-register_test.js'
   },
+  {
+    mechanism: 'a call that an endpoint was beginning to answer when it crashed waits',
+    file: 'routing/dist/lib/crash-register.js',
+    from: 'latestMs + suspectPauseMs',
+    to: 'latestMs',
+    test: 'routing/dist/test/crash-register_test.js'
+  },
+  {
+    mechanism: 'an answer clears a request of crashes',
+    file: 'routing/dist/lib/crash-register.js',
+    from: 'crashedMs > record.answeredMs + answerValidityMs',
+    to: 'crashedMs > 0',
+    test: 'routing/dist/test/crash-register_property_test.js'
+  },
   {
     mechanism: 'suspects are evicted before quarantined requests',
     file: 'routing/dist/lib/crash-register.js',
-    from: 'if (!this.isQuarantined(fingerprint))\n                this.remove(fingerprint);\n        }',
-    to: 'this.remove(fingerprint);\n        }',
+    from: '[...oldest.filter((trait) => !quarantined.has(trait)), ...oldest.filter((trait) => quarantined.has(trait))]',
+    to: 'oldest',
     test: 'routing/dist/test/crash-register_test.js'
   },
   {
