--- a/packages/stand-ins/src/test/platform_test.ts
+++ b/packages/stand-ins/src/test/platform_test.ts
@@ -262,6 +262,35 @@
   for (const name of ['spoiled-1', 'spoiled-2', 'spoiled-3']) platform.store.remove('servers', name)
 })
 
+test('odd entries of another writer end no process: a port out of range, numbers too large, deep nesting, a name that is no header', async () => {
+  const nested = JSON.parse('['.repeat(2000) + ']'.repeat(2000)) as unknown
+  const [worker] = platform.workers as [typeof platform.workers[number]]
+  const plain = { service: 'desk', address: '127.71.3.9:99999', zone: 'zone-0', version: 'v1', slots: 6, phase: 'ready', coldLeftMs: 0, sequence: 0, born: 1 }
+  const model = { ...plain, service: 'model', address: '127.71.2.99:17200', type: 'large', layers: { from: 0, to: 12 } }
+  const oddEntries = {
+    'odd-port': plain,
+    'odd-host': { ...plain, address: '900.0.0.1:80' },
+    'odd-slots': { ...plain, address: '127.71.3.9:17200', slots: 1e308 },
+    'odd\nname': { ...plain, address: worker.getAddress() },
+    'odd-layers': { ...model, layers: { from: 0, to: 1e9 } },
+    'odd-fraction': { ...model, layers: { from: -0.5, to: 11.5 } },
+    'odd-born': { ...model, born: 1e300 },
+    'odd-nesting': { ...model, layers: nested, type: nested, later: nested }
+  }
+  const names = [...platform.listProcesses('entry'), ...platform.listProcesses('sidecar')]
+  const pids = names.map((name) => platform.processes.getPid(name))
+  for (const [name, entry] of Object.entries(oddEntries)) platform.store.write('servers', name, entry)
+  await wait(600)
+  const statuses: number[] = []
+  for (let call = 0; call < 12; call++) {
+    const address = platform.getEntryAddress(1 + call % 2)
+    statuses.push((await send('/lookups/odd', { address, method: 'GET' })).status, (await sendStream(`odd-${call}`, { address })).status)
+  }
+  for (const name of Object.keys(oddEntries)) platform.store.remove('servers', name)
+  assert.deepEqual(names.filter((name, index) => !platform.processes.isRunning(name) || platform.processes.getPid(name) !== pids[index]), [], `ended; logs in ${platform.processes.folder}`)
+  assert.deepEqual(statuses.filter((status) => status !== 200), [])
+})
+
 test('a draining endpoint receives no new calls, right after an outage of the store and later', async () => {
   const [first] = platform.services as [typeof platform.services[number]]
   const countLookUps = async (calls: number): Promise<number> => {
