Let calls wait that resemble one at the beginning of whose answer an endpoint crashed

Cause of the crashes that were left: an entry sent a call whose endpoint had just ended to the next one, 43 ms later, before the next such call could tell which trait was to blame; a part with two crashes was tried again after 5 s, because one of its calls had only waited; and a call that waited at three crashes, repeated in between, counted more separate crashes than the part that caused them, so that it took the part's place.

Now the trait at the most crashes is the strongest, not the one with the most separate ones. An endpoint that ends while it is beginning to answer one call of this entry, with no other at that point, accuses this call strongly: calls with all its suspected parts wait 30 s, its own content 5 s, and nothing of it is sent again. Parts that answered calls hold are not suspected, so that a sound call in this place costs only itself a pause.

--- a/packages/clementineloft/src/lib/forwarding/call-attempt.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-attempt.ts
@@ -21,9 +21,6 @@
 /** Timeout for the body of an error answer, in milliseconds; a body that ends late or never holds up the call no longer. */
 const failureBodyTimeoutMs = 500
 
-/** Time after the head of an answer within which the endpoint is beginning to answer, in milliseconds. */
-const beginningMs = 100
-
 /** Maximum number of prompt parts in a line of the journal. */
 const maxRecordedParts = 8
 
@@ -81,8 +78,6 @@
   /** When the call was sent, in milliseconds of the clock. */
   private readonly sentMs: number
   private readonly evidence: CrashEvidence
-  /** When the head of the answer arrived, in milliseconds of the clock. */
-  private headMs = -Infinity
 
   constructor (
     private readonly context: ForwardingContext,
@@ -112,6 +107,12 @@
     placement.recordStart(this.currentPlacement)
   }
 
+  /** @returns whether the endpoint with this id has sent the head of the stream, and no event yet */
+  isBeginningAt (endpointId: string): boolean {
+    const { route } = this.admittedCall
+    return route.isStream && this.progress === AnswerProgress.head && this.currentPlacement.endpoint.id === endpointId
+  }
+
   /** Records that an endpoint does not answer its sidecar any more. Concerns the call if it is a part of its path. */
   recordSilence (endpoint: CallEndpoint): void {
     const isPart = this.currentPlacement.parts?.some((part) => part.endpoint.id === endpoint.id) === true
@@ -225,7 +226,6 @@
 
   private forward (head: AnswerHead, response: IncomingMessage): void {
     this.progress = AnswerProgress.head
-    this.headMs = this.context.clock.now()
     const relay = this.createRelay(head, response)
     const listener = {
       handleEvents: (count: number, lastId: string | undefined) => { this.recordEvents(count, lastId) },
@@ -250,7 +250,7 @@
 
   private handleTruncated (reason: string): void {
     this.recordLoss('answer-cut', reason, true)
-    const isBeginning = this.isBeginning()
+    const isBeginning = this.isOnlyBeginning()
     const evidence = this.evidence.recordLoss(this.currentPlacement.endpoint, this.sentMs, isBeginning)
     const end = (): void => { this.end({ end: this.resolveEnd(AttemptEnd.unknown), mayHaveRun: true }) }
     // A call that may just have crashed its endpoint goes to no other one before this is known.
@@ -258,10 +258,11 @@
     else end()
   }
 
-  /** @returns whether the endpoint has just begun to answer, and no event is complete */
-  private isBeginning (): boolean {
-    const isStarted = this.admittedCall.route.isStream && this.progress === AnswerProgress.head
-    return isStarted && this.context.clock.now() - this.headMs <= beginningMs
+  /** @returns whether the endpoint was beginning to answer this call, and no other call of this entry */
+  private isOnlyBeginning (): boolean {
+    const { id } = this.currentPlacement.endpoint
+    const beginning = [...this.context.runs].filter((run) => run.isBeginningAt(id))
+    return this.isBeginningAt(id) && beginning.length === 1
   }
 
   /** Records that the endpoint was lost, and which content it had at that time. */
--- a/packages/clementineloft/src/lib/forwarding/call-run.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-run.ts
@@ -82,6 +82,11 @@
     return true
   }
 
+  /** @returns whether the endpoint with this id has sent the head of the answer, and no event yet */
+  isBeginningAt (endpointId: string): boolean {
+    return this.attempt?.isBeginningAt(endpointId) === true
+  }
+
   /** Records that an endpoint does not answer its sidecar any more, which may be due to the call. */
   recordSilence (endpoint: CallEndpoint): void {
     this.attempt?.recordSilence(endpoint)
--- a/packages/clementineloft/src/lib/forwarding/call-traits.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-traits.ts
@@ -3,16 +3,17 @@
  * several calls share.
  */
 import { computeDigest } from '@clementineloft/kernel'
+import { formatPartTrait } from '@clementineloft/routing'
 import type { ForwardedCall } from './call-protocol.js'
 
 /** Length of a digest, in hexadecimal digits: short enough for a datagram, long enough to be unique in a fleet. */
 const digestDigits = 16
-/** Maximum length of the trait of a prompt part; longer ones are replaced by a digest. */
-const maxTraitLength = 64
+/** Maximum length of the identity of a prompt part; longer ones are replaced by a digest. */
+const maxPartLength = 40
 /** Maximum number of prompt parts of one call that are considered. */
 const maxParts = 16
 
-const formatTrait = (text: string): string => text.length <= maxTraitLength ? text : computeDigest(text).slice(0, digestDigits)
+const formatPart = (part: string): string => part.length <= maxPartLength ? part : computeDigest(part).slice(0, digestDigits)
 
 /**
  * @param service - service of the call; the same part may be harmless to another model
@@ -21,6 +22,6 @@
  */
 export const computeCallTraits = (call: ForwardedCall, service: string, team: string | undefined, body: Buffer): string[] => {
   const content = [team ?? '', call.method, call.host, call.target, body.toString('latin1')].join('\n')
-  const parts = call.sharedParts?.slice(0, maxParts).map((part) => formatTrait(`${service}/${part}`)) ?? []
+  const parts = call.sharedParts?.slice(0, maxParts).map((part) => formatPartTrait(service, formatPart(part))) ?? []
   return [computeDigest(content).slice(0, digestDigits), ...new Set(parts)]
 }
--- a/packages/clementineloft/src/lib/forwarding/running-call.ts
+++ b/packages/clementineloft/src/lib/forwarding/running-call.ts
@@ -24,6 +24,8 @@
   startFromQueue: () => boolean
   /** Ends a queued call whose maximum queue time has passed. */
   rejectExpired: () => void
+  /** @returns whether the endpoint with this id has sent the head of the answer, and no event yet */
+  isBeginningAt: (endpointId: string) => boolean
   /** Records that an endpoint does not answer its sidecar any more, which may be due to the call. */
   recordSilence: (endpoint: CallEndpoint) => void
   /** Ends the call if calls with its traits are refused now, unless an endpoint has survived its answer. */
--- a/packages/routing/src/lib/crash-register.ts
+++ b/packages/routing/src/lib/crash-register.ts
@@ -26,13 +26,13 @@
 /** Maximum number of crashes kept for one trait, the latest ones: more than decide anything. */
 const maxCrashes = 8
 /**
- * Time for which a call is refused that its endpoint was beginning to answer when it crashed, in milliseconds: long enough
- * that another call with the same cause tells them apart.
+ * Time for which calls wait after an endpoint was beginning to answer one of them when it crashed, in milliseconds: those with
+ * the same content, and those with all its suspected parts, if it has any.
  */
-const suspectPauseMs = 5000
+const SuspectPauseMs = { content: 5000, parts: 30_000 } as const
 /**
- * Time for which a prompt part is refused after two crashes, in milliseconds, by whether an endpoint was beginning to answer
- * on it at all of them. Then it is tried again, since a part that many share may be suspected wrongly and, while it is
+ * Time for which a prompt part is refused after two crashes, in milliseconds, by whether endpoints were beginning to answer
+ * on it at two of them. Then it is tried again, since a part that many share may be suspected wrongly and, while it is
  * refused, no answer clears it.
  */
 const PartQuarantineMs = { beginning: 30_000, waiting: 5000 } as const
@@ -41,6 +41,9 @@
 /** Time after an answer in which crashes are not held against its traits, in milliseconds. */
 const answerValidityMs = 10_000
 
+/** Separates service and part in the trait of a part; fingerprints do not contain it. */
+const partSeparator = '/'
+
 /** One crash of one engine, with the fingerprints of the requests that it was running. */
 export interface CrashReport {
   endpoint: string
@@ -53,6 +56,11 @@
   commonCauseMs: number
 }
 
+/** @returns the trait of a prompt part, as the same part may be harmless to the model of another service */
+export const formatPartTrait = (service: string, part: string): string => `${service}${partSeparator}${part}`
+
+const isPartTrait = (trait: string): boolean => trait.includes(partSeparator)
+
 interface CrashRecord {
   /** Latest crashes, by endpoint. */
   crashes: Map<string, RequestCrash>
@@ -70,6 +78,8 @@
   private readonly rotation = new Set<string>()
   /** Traits with more than one crash. */
   private readonly repeated = new Set<string>()
+  /** When endpoints crashed that were beginning to answer a request, by its fingerprint. */
+  private readonly beginningMs = new Map<string, number>()
   /** Quarantined traits; `undefined` after a change. */
   private quarantined: Set<string> | undefined
 
@@ -163,7 +173,7 @@
     const quarantined = this.getQuarantined()
     const deciding = traits.filter((trait) => quarantined.has(trait) && this.hasAllCompanions(trait, traits))
     const untilMs = deciding.map((trait) => trait === traits[0] ? this.find(trait)?.expiresAtMs ?? 0 : this.computePartQuarantineEnd(trait))
-    return Math.max(this.computePauseMs(traits[0] ?? ''), ...untilMs.map((ms) => ms - this.clock.now()))
+    return Math.max(this.computePauseMs(traits), ...untilMs.map((ms) => ms - this.clock.now()))
   }
 
   /** @returns the quarantined traits */
@@ -217,15 +227,33 @@
   private computePartQuarantineEnd (part: string): number {
     const crashes = this.listValidCrashes(part)
     const furtherCrashes = countSeparateCrashes(crashes, this.options.commonCauseMs) - 2
-    const firstMs = crashes.every(({ isBeginning }) => isBeginning) ? PartQuarantineMs.beginning : PartQuarantineMs.waiting
+    const beginningCrashes = crashes.filter(({ isBeginning }) => isBeginning).length
+    const firstMs = beginningCrashes > 1 ? PartQuarantineMs.beginning : PartQuarantineMs.waiting
     const quarantineMs = Math.min(crashRetentionMs, firstMs * partQuarantineFactor ** furtherCrashes)
     return Math.max(...crashes.map(({ crashedMs }) => crashedMs)) + quarantineMs
   }
 
-  private computePauseMs (fingerprint: string): number {
-    const beginning = this.listValidCrashes(fingerprint).filter(({ isBeginning }) => isBeginning)
-    const latestMs = Math.max(-Infinity, ...beginning.map(({ crashedMs }) => crashedMs))
-    return Math.max(0, latestMs + suspectPauseMs - this.clock.now())
+  /**
+   * @returns time for which the request waits since an endpoint was beginning to answer the same content, or another with the
+   *   same suspected parts, when it crashed, in milliseconds
+   */
+  private computePauseMs (traits: readonly string[]): number {
+    const nowMs = this.clock.now()
+    let untilMs = nowMs
+    for (const [fingerprint, crashedMs] of this.beginningMs) {
+      const isOver = crashedMs + SuspectPauseMs.parts <= nowMs || !this.isSuspect(fingerprint)
+      if (isOver) this.beginningMs.delete(fingerprint)
+      const pauseMs = isOver ? 0 : this.choosePauseMs(traits, fingerprint)
+      if (pauseMs > 0) untilMs = Math.max(untilMs, crashedMs + pauseMs)
+    }
+    return untilMs - nowMs
+  }
+
+  /** @returns time for which a request waits after the crash under a suspect; 0 unless it resembles the suspect */
+  private choosePauseMs (traits: readonly string[], fingerprint: string): number {
+    const parts = this.find(fingerprint)?.companions.filter((trait) => trait !== fingerprint && this.isSuspect(trait)) ?? []
+    if (parts.length > 0 && parts.every((part) => traits.includes(part))) return SuspectPauseMs.parts
+    return traits[0] === fingerprint ? SuspectPauseMs.content : 0
   }
 
   private getQuarantined (): ReadonlySet<string> {
@@ -254,6 +282,7 @@
     this.records.set(trait, record)
     this.rotation.add(trait)
     if (record.crashes.size > 1) this.repeated.add(trait)
+    if (crash.isBeginning && !isPartTrait(trait)) this.beginningMs.set(trait, crash.crashedMs)
     this.quarantined = undefined
     return true
   }
--- a/packages/routing/src/lib/crash-verdicts.ts
+++ b/packages/routing/src/lib/crash-verdicts.ts
@@ -24,6 +24,8 @@
 
 interface Score {
   suspect: SuspectedTrait
+  /** Number of crashes that no stronger suspect explains, and how many of them have separate causes. */
+  crashes: number
   separateCrashes: number
   /** Number of crashes at which the endpoint was beginning to answer a request with the trait. */
   beginningCrashes: number
@@ -49,12 +51,12 @@
 const computeScore = (suspect: SuspectedTrait, explained: ReadonlySet<string>, commonCauseMs: number): Score => {
   const crashes = suspect.crashes.filter(({ endpoint }) => !explained.has(endpoint))
   const beginningCrashes = crashes.filter(({ isBeginning }) => isBeginning).length
-  return { suspect, separateCrashes: countSeparateCrashes(crashes, commonCauseMs), beginningCrashes }
+  return { suspect, crashes: crashes.length, separateCrashes: countSeparateCrashes(crashes, commonCauseMs), beginningCrashes }
 }
 
 /** Orders the trait that explains more first; of equals, the one that refuses fewer requests. */
 const compareScores = (one: Score, other: Score): number =>
-  other.separateCrashes - one.separateCrashes || other.beginningCrashes - one.beginningCrashes || other.suspect.companions - one.suspect.companions
+  other.crashes - one.crashes || other.beginningCrashes - one.beginningCrashes || other.suspect.companions - one.suspect.companions
 
 /**
  * @param suspects - traits with the crashes of which nothing has cleared them, the earliest first
--- a/packages/routing/src/test/crash-register_property_test.ts
+++ b/packages/routing/src/test/crash-register_property_test.ts
@@ -9,7 +9,7 @@
 import { CrashRegister } from '@clementineloft/routing'
 
 const processes = 3
-const traits = ['call-a', 'call-b', 'part-1', 'part-2', 'part-3']
+const traits = ['call-a', 'call-b', 's/part-1', 's/part-2', 's/part-3']
 const seed = 20_261_205
 
 interface Step {
@@ -80,15 +80,15 @@
 })
 
 test('a part at every one of three crashes is refused, whatever other parts the calls had', () => {
-  fc.assert(fc.property(fc.array(fc.subarray(['part-1', 'part-2', 'part-3']), { minLength: 3, maxLength: 6 }), (others) => {
+  fc.assert(fc.property(fc.array(fc.subarray(['s/part-1', 's/part-2', 's/part-3']), { minLength: 3, maxLength: 6 }), (others) => {
     const fleet = new Fleet()
     others.forEach((parts, index) => {
       fleet.clock.advance(1000)
-      fleet.apply({ kind: 'crash', process: index % processes, other: 0, endpoint: index, traits: [`call-${index}`, ...parts, 'deadly'], isBeginning: true })
+      fleet.apply({ kind: 'crash', process: index % processes, other: 0, endpoint: index, traits: [`call-${index}`, ...parts, 's/deadly'], isBeginning: true })
       for (const from of fleet.registers) {
         for (const to of fleet.registers) for (const notice of from.listNextNotices(100)) to.merge(notice)
       }
     })
-    for (const register of fleet.registers) assert.ok(register.isRefused(['call-new', 'part-1', 'part-2', 'part-3', 'deadly']))
+    for (const register of fleet.registers) assert.ok(register.isRefused(['call-new', 's/part-1', 's/part-2', 's/part-3', 's/deadly']))
   }), { seed, numRuns: 300 })
 })
--- a/packages/routing/src/test/crash-register_test.ts
+++ b/packages/routing/src/test/crash-register_test.ts
@@ -76,56 +76,69 @@
   const clock = new ManualClock()
   clock.advance(60_000)
   const register = new CrashRegister(clock)
-  register.recordAnswer(['sound', 'first'])
-  register.recordCrash(['call-1', 'first', 'deadly'], createCrash('e1', clock.now()))
-  register.recordCrash(['call-2', 'first', 'deadly'], createCrash('e2', clock.now()))
-  assert.equal(register.isRefused(['call-3', 'first', 'deadly']), true)
-  assert.equal(register.isRefused(['call-4', 'other', 'deadly']), true)
-  assert.equal(register.isRefused(['call-5', 'first']), false)
+  register.recordAnswer(['s/sound', 's/first'])
+  register.recordCrash(['call-1', 's/first', 's/deadly'], createCrash('e1', clock.now()))
+  register.recordCrash(['call-2', 's/first', 's/deadly'], createCrash('e2', clock.now()))
+  assert.equal(register.isRefused(['call-3', 's/first', 's/deadly']), true)
+  assert.equal(register.isRefused(['call-4', 's/other', 's/deadly']), true)
+  assert.equal(register.isRefused(['call-5', 's/first']), false)
 })
 
 test('until an answer or a crash tells two parts apart, only calls with both are refused', () => {
   const register = new CrashRegister(new ManualClock())
-  register.recordCrash(['call-1', 'rare', 'deadly'], createCrash('e1', 1))
-  register.recordCrash(['call-2', 'rare', 'deadly'], createCrash('e2', 2))
-  assert.equal(register.isRefused(['call-3', 'rare', 'deadly']), true)
-  assert.deepEqual([register.isRefused(['call-4', 'rare']), register.isRefused(['call-5', 'deadly'])], [false, false])
-  register.recordCrash(['call-5', 'deadly'], createCrash('e3', 3))
-  assert.deepEqual([register.isRefused(['call-6', 'rare']), register.isRefused(['call-7', 'deadly'])], [false, true])
+  register.recordCrash(['call-1', 's/rare', 's/deadly'], createCrash('e1', 1))
+  register.recordCrash(['call-2', 's/rare', 's/deadly'], createCrash('e2', 2))
+  assert.equal(register.isRefused(['call-3', 's/rare', 's/deadly']), true)
+  assert.deepEqual([register.isRefused(['call-4', 's/rare']), register.isRefused(['call-5', 's/deadly'])], [false, false])
+  register.recordCrash(['call-5', 's/deadly'], createCrash('e3', 3))
+  assert.deepEqual([register.isRefused(['call-6', 's/rare']), register.isRefused(['call-7', 's/deadly'])], [false, true])
 })
 
 test('calls that only waited at endpoints which a deadly part crashed are not quarantined with it', () => {
   const register = new CrashRegister(new ManualClock())
   for (const [index, endpoint] of ['e1', 'e2', 'e3'].entries()) {
-    register.recordCrash([`call-${index}`, 'first', 'deadly'], createCrash(endpoint, index, { isBeginning: true }))
-    if (index > 0) register.recordCrash(['innocent', 'first'], createCrash(endpoint, index))
+    register.recordCrash([`call-${index}`, 's/first', 's/deadly'], createCrash(endpoint, index, { isBeginning: true }))
+    if (index > 0) register.recordCrash(['innocent', 's/first'], createCrash(endpoint, index))
   }
-  assert.equal(register.isRefused(['call-9', 'first', 'deadly']), true)
-  assert.equal(register.isRefused(['innocent', 'first']), false)
+  assert.equal(register.isRefused(['call-9', 's/first', 's/deadly']), true)
+  assert.equal(register.isRefused(['innocent', 's/first']), false)
 })
 
-test('a call at the beginning of whose answer an endpoint crashed is refused for a while, calls that share parts with it are not', () => {
+test('a call at the beginning of whose answer an endpoint crashed waits, and calls with all its suspected parts, but no others', () => {
   const clock = new ManualClock()
+  clock.advance(60_000)
   const register = new CrashRegister(clock)
-  register.recordCrash(['call-1', 'part'], createCrash('e1', clock.now(), { isBeginning: true }))
-  register.recordCrash(['call-2', 'part-2'], createCrash('e1', clock.now()))
-  assert.deepEqual([register.isRefused(['call-1', 'part']), register.isRefused(['call-3', 'part']), register.isRefused(['call-2', 'part-2'])], [true, false, false])
-  clock.advance(1000)
-  assert.equal(register.computeRefusalMs(['call-1', 'part']), 4000)
-  clock.advance(4000)
-  assert.equal(register.isRefused(['call-1', 'part']), false)
+  register.recordAnswer(['call-0', 's/common'])
+  register.recordCrash(['call-1', 's/common', 's/part', 's/rare'], createCrash('e1', clock.now(), { isBeginning: true }))
+  register.recordCrash(['call-2', 's/other'], createCrash('e1', clock.now()))
+  register.recordCrash(['call-6', 's/common'], createCrash('e2', clock.now(), { isBeginning: true }))
+  const calls = [['call-1', 's/common', 's/part', 's/rare'], ['call-3', 's/part', 's/rare'], ['call-4', 's/part'], ['call-5', 's/common'], ['call-2', 's/other'], ['call-6', 's/common']]
+  assert.deepEqual(calls.map((call) => register.computeRefusalMs(call)), [30_000, 30_000, 0, 0, 0, 5000])
+  clock.advance(30_000)
+  assert.deepEqual(calls.map((call) => register.isRefused(call)), [false, false, false, false, false, false])
+})
+
+test('a deadly part at every crash explains them, although a call that waited at all of them was repeated more often in between', () => {
+  const register = new CrashRegister(new ManualClock(), { commonCauseMs: 40 })
+  register.recordCrash(['call-1', 's/deadly'], createCrash('e1', 100, { isBeginning: true }))
+  register.recordCrash(['call-2', 's/deadly'], createCrash('e2', 250, { sentMs: 110, isBeginning: true }))
+  register.recordCrash(['call-3', 's/deadly'], createCrash('e3', 270, { sentMs: 120, isBeginning: true }))
+  for (const [endpoint, sentMs, crashedMs] of [['e1', 50, 100], ['e2', 100, 250], ['e3', 250, 270]] as const) {
+    register.recordCrash(['waiting', 's/other'], createCrash(endpoint, crashedMs, { sentMs }))
+  }
+  assert.deepEqual(register.listQuarantined(), ['s/deadly'])
 })
 
 test('a part that two crashes accuse is tried again after a while, later with each further crash, a content is not', () => {
   const clock = new ManualClock()
   const register = new CrashRegister(clock)
-  for (const endpoint of ['e1', 'e2']) register.recordCrash([`call-${endpoint}`, 'part'], createCrash(endpoint, clock.now()))
+  for (const endpoint of ['e1', 'e2']) register.recordCrash([`call-${endpoint}`, 's/part'], createCrash(endpoint, clock.now()))
   for (const endpoint of ['e3', 'e4']) register.recordCrash(['content'], createCrash(endpoint, clock.now()))
-  assert.equal(register.computeRefusalMs(['call-9', 'part']), 5000)
+  assert.equal(register.computeRefusalMs(['call-9', 's/part']), 5000)
   clock.advance(5000)
-  assert.deepEqual([register.isRefused(['call-9', 'part']), register.isRefused(['content'])], [false, true])
-  register.recordCrash(['call-9', 'part'], createCrash('e5', clock.now()))
-  assert.equal(register.computeRefusalMs(['call-10', 'part']), 20_000)
+  assert.deepEqual([register.isRefused(['call-9', 's/part']), register.isRefused(['content'])], [false, true])
+  register.recordCrash(['call-9', 's/part'], createCrash('e5', clock.now()))
+  assert.equal(register.computeRefusalMs(['call-10', 's/part']), 20_000)
 })
 
 test('a repeat sent right after a crash counts separately in a process that knows it from rounded ages', () => {
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -252,8 +252,8 @@
   {
     mechanism: 'a call that an endpoint was beginning to answer when it crashed waits',
     file: 'routing/dist/lib/crash-register.js',
-    from: 'latestMs + suspectPauseMs',
-    to: 'latestMs',
+    from: 'isOver ? 0 : this.choosePauseMs(traits, fingerprint)',
+    to: '0',
     test: 'routing/dist/test/crash-register_test.js'
   },
   {
