Go on with a begun stream only if the next endpoint sends events

An operator's report: a stream had begun and broke off, the next worker answered with an error, and clients found its text in their stream. It can happen here: any answer with a status of 200 to 299 was forwarded, so that an error document with status 200 was appended as if it were events, and one with 204 ended the stream as complete. Errors with status 500 were not.

--- a/packages/clementineloft/src/lib/forwarding/call-attempt.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-attempt.ts
@@ -196,7 +196,9 @@
       this.handleNotRun(head)
       return
     }
-    if (head.status >= 200 && head.status < 300) this.forward(head, response)
+    const isSuccess = head.status >= 200 && head.status < 300
+    // An answer that has begun goes on only with events; anything else is an error, whatever its status.
+    if (isSuccess && (head.isEventStream || !this.writer.hasBegun())) this.forward(head, response)
     else this.readFailure(head, response)
   }
 
--- a/packages/clementineloft/src/lib/forwarding/call-protocol.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-protocol.ts
@@ -54,6 +54,8 @@
   isForThisCall: boolean
   /** Whether the endpoint declares that it did not run the call. */
   isNotExecuted: boolean
+  /** Whether the answer is a stream of events. */
+  isEventStream: boolean
   /** Whether the answer comes from an endpoint other than the intended one. */
   isFromOtherEndpoint: boolean
   /** Address of the endpoint of the path that failed, if the answer names it. */
--- a/packages/stand-ins/src/emulator/emulated-service.ts
+++ b/packages/stand-ins/src/emulator/emulated-service.ts
@@ -21,6 +21,8 @@
   /** Connections on which each call arrived, by identity of the call; one element for each arrival. */
   readonly connections = new Map<string, Socket[]>()
   private readonly server: Server = createServer((request, response) => { void this.handle(request, response) })
+  /** Number of next answers whose head breaks off in the middle. */
+  cutHeads = 0
   private running = 0
   private born = 1
 
@@ -114,6 +116,11 @@
     const body = computeBody(call)
     const headers = { 'Attempt-Id': call.id, 'Server-Signature': this.id, 'Server-Load': `${this.running},0,${this.slots}` }
     const { socket } = response
+    if (this.cutHeads > 0) {
+      this.cutHeads--
+      socket?.end(`HTTP/1.1 200 OK\r\nAttempt-Id: ${call.id}\r\nServer-Signature: ${this.id}\r\nContent-Le`)
+      return
+    }
     if (answerFault === AnswerFault.hang) return
     if (answerFault === AnswerFault.lostAnswer) socket?.resetAndDestroy()
     else if (answerFault === AnswerFault.failure) {
--- a/packages/stand-ins/src/emulator/emulated-worker.ts
+++ b/packages/stand-ins/src/emulator/emulated-worker.ts
@@ -25,6 +25,7 @@
   call: EmulatedCall
   parts: PathPart[]
   stalledSinceMs: number | undefined
+  response: ServerResponse
 }
 
 const parsePath = (text: string): PathPart[] => text.split(',').map((entry) => {
@@ -41,10 +42,23 @@
   return nextLayer === emulatedModel.layers
 }
 
+/** An answer that is no stream. */
+export interface ResumeAnswer {
+  status: number
+  contentType: string
+  body: string
+}
+
 /** All model endpoints by address, through which an endpoint checks the parts of a path. */
 export class EmulatedFleet {
   readonly workers = new Map<string, EmulatedWorker>()
   readonly crashTriggers = new CrashTriggers()
+  /** Answer to every stream that is to be resumed, in place of its events. */
+  resumeAnswer: ResumeAnswer | undefined
+  /** Number of streams that got it. */
+  resumeAnswers = 0
+  /** Whether streams have neither a length nor chunks and end with their connection. */
+  isCloseDelimited = false
   /** Calls that produced an event on a path that does not contain every layer exactly once and in order. */
   readonly invalidPathCallIds: string[] = []
 
@@ -137,6 +151,9 @@
   /** Stops as after a crash: connections are closed, and the record is removed from the store after a delay. */
   crash (removeAfterMs = 1000): void {
     const id = this.getId()
+    if (this.fleet.isCloseDelimited) {
+      for (const { response } of this.streams.values()) response.socket?.resetAndDestroy()
+    }
     this.server?.close()
     this.server?.closeAllConnections()
     this.server = undefined
@@ -219,7 +236,14 @@
       refuse(response, call, misdirectedStatus, { 'At-Server': unavailablePart.address })
     } else {
       this.runs.push(call.id)
-      const stream: RunningStream = { call, parts, stalledSinceMs: undefined }
+      const { resumeAnswer } = this.fleet
+      if (resumeAnswer !== undefined && call.headers['last-event-id'] !== undefined) {
+        this.fleet.resumeAnswers++
+        response.writeHead(resumeAnswer.status, { 'Attempt-Id': call.id, 'content-type': resumeAnswer.contentType })
+        response.end(resumeAnswer.body)
+        return
+      }
+      const stream: RunningStream = { call, parts, stalledSinceMs: undefined, response }
       this.streams.set(call.id, stream)
       this.sendEvents(stream, response)
     }
@@ -228,6 +252,10 @@
   private sendEvents (stream: RunningStream, response: ServerResponse): void {
     const { call } = stream
     let position = Number(call.headers['last-event-id'] ?? 0)
+    if (this.fleet.isCloseDelimited) {
+      response.useChunkedEncodingByDefault = false
+      response.shouldKeepAlive = false
+    }
     response.writeHead(200, { 'Attempt-Id': call.id, 'Server-Signature': this.getId(), 'content-type': 'text/event-stream' })
     const timer = setInterval(() => {
       if (this.streams.get(call.id) !== stream || response.destroyed) {
--- a/packages/stand-ins/src/test/platform_test.ts
+++ b/packages/stand-ins/src/test/platform_test.ts
@@ -378,3 +378,55 @@
   platform.restartProcess('entry-2')
   await platform.waitUntilReady()
 })
+
+test('an answer that breaks off in the middle of its head is no answer', async () => {
+  const setCutHeads = (count: number): void => {
+    for (const service of platform.services) service.cutHeads = count
+  }
+  setCutHeads(1)
+  const booking = await send('/bookings/cut-head', { body: 'x' })
+  setCutHeads(0)
+  assert.deepEqual([booking.status, countRuns(booking.id)], [502, 1])
+  await wait(2600)
+  const [first] = platform.services as [typeof platform.services[number]]
+  for (let call = 0; call < 6; call++) {
+    first.cutHeads = 1
+    const lookUp = await send(`/lookups/cut-head-${call}`, { method: 'GET' })
+    assert.deepEqual([lookUp.status, lookUp.body], [200, computeBody({ method: 'GET', target: `/lookups/cut-head-${call}`, body: '' })])
+  }
+  setCutHeads(0)
+  await wait(2600)
+})
+
+test('a begun stream that the next endpoint answers with an error ends incomplete, without a byte of the error', async () => {
+  const answers = [
+    { status: 500, contentType: 'text/event-stream', body: 'data: internal error\n\n' },
+    { status: 200, contentType: 'application/json', body: '{"error":"internal"}\n\n' },
+    { status: 204, contentType: 'text/event-stream', body: '' }
+  ]
+  const checkBrokenStream = async (name: string, answer: typeof answers[number], isCloseDelimited: boolean): Promise<void> => {
+    Object.assign(platform.fleet, { resumeAnswer: answer, isCloseDelimited })
+    let received = 0
+    const stream = sendStream(name, { address: platform.getEntryAddress(2), handleChunk: () => { received++ } })
+    assert.ok(await waitUntil(() => received > 3), name)
+    const [first] = platform.workers.filter((worker) => worker.countStreams() > 0)
+    first?.crash()
+    const result = await stream
+    Object.assign(platform.fleet, { resumeAnswer: undefined, isCloseDelimited: false })
+    assert.ok(computeStream(name).startsWith(result.body), `${name}: ${result.body.slice(-60)}`)
+    assert.equal(result.isComplete && result.body !== computeStream(name), false, `${name} looks complete with ${result.body.length} bytes`)
+    await first?.start()
+    assert.ok(await waitUntil(() => platform.workers.every((worker) => worker.layers !== null), 10_000))
+  }
+  for (const isCloseDelimited of [false, true]) {
+    for (const [index, answer] of answers.entries()) {
+      const resumedBefore = platform.fleet.resumeAnswers
+      for (let attempt = 0; attempt < 5 && platform.fleet.resumeAnswers === resumedBefore; attempt++) {
+        for (let call = 0; call < 8; call++) await sendStream(`calm-${call}`, { address: platform.getEntryAddress(2) })
+        await checkBrokenStream(`error-${isCloseDelimited}-${index}-${attempt}`, answer, isCloseDelimited)
+      }
+      assert.ok(platform.fleet.resumeAnswers > resumedBefore, `no stream was resumed at an endpoint that answers ${answer.status}`)
+    }
+  }
+  await wait(2600)
+})
