Reset the connection of an answer that ends with it when the answer is cut

The connection is now reset. platform_test "a begun stream …" in its variant without chunks failed before (270 bytes that look complete) and passes; the emulated caller takes a reset for an incomplete answer, which Node's parser does not report for such bodies.

--- a/packages/clementineloft/src/lib/callers/answer-writer.ts
+++ b/packages/clementineloft/src/lib/callers/answer-writer.ts
@@ -17,6 +17,7 @@
 /** The answer to one call. */
 export class AnswerWriter {
   private isWaitingForDrain = false
+  private isCloseDelimited = false
 
   /**
    * @param response - response to write to
@@ -64,6 +65,7 @@
    * @param extraHeaders - further headers, as alternating names and values
    */
   begin (head: ForwardedHead, extraHeaders: readonly string[] = []): void {
+    this.isCloseDelimited = head.isCloseDelimited
     if (head.isCloseDelimited) this.response.useChunkedEncodingByDefault = false
     if (head.isCloseDelimited || this.closesConnection()) this.response.shouldKeepAlive = false
     this.response.writeHead(head.status, [...head.headers, ...extraHeaders])
@@ -92,8 +94,12 @@
     this.response.end()
   }
 
-  /** Aborts the answer by closing the connection, so that the caller can tell that it is incomplete. */
+  /**
+   * Aborts the answer by closing the connection, so that the caller can tell that it is incomplete. The connection of an
+   * answer that ends with it is reset, since the caller would take its mere end for that of the answer.
+   */
   cutOff (): void {
+    if (this.isCloseDelimited) this.response.socket?.resetAndDestroy()
     this.response.destroy()
   }
 }
--- a/packages/stand-ins/src/emulator/emulated-caller.ts
+++ b/packages/stand-ins/src/emulator/emulated-caller.ts
@@ -58,6 +58,9 @@
       ...call.headers
     }
   })
+  let isReset = false
+  // Runs before the listener of the HTTP parser, which takes a reset for the end of a body without a length.
+  outgoing.on('socket', (socket) => { socket.prependListener('error', () => { isReset = true }) })
   outgoing.on('response', (response) => {
     answer.status = response.statusCode ?? 0
     answer.headers = response.headers
@@ -71,7 +74,7 @@
     })
     response.on('error', () => { /* The close event follows. */ })
     response.on('close', () => {
-      answer.isComplete = response.complete
+      answer.isComplete = response.complete && !isReset
       resolve(answer)
     })
   })
