--- a/packages/routing/src/lib/crash-register.ts
+++ b/packages/routing/src/lib/crash-register.ts
@@ -10,11 +10,10 @@
  */
 import type { Clock } from '@clementineloft/kernel'
 import type { CrashNotice, RequestCrash } from './crash-notice.js'
+import { answerValidityMs, CrashRecord, crashRetentionMs } from './crash-record.js'
 import { countSeparateCrashes, findCrashingTraits } from './crash-verdicts.js'
 import type { SuspectedTrait } from './crash-verdicts.js'
 
-/** How long a crash is kept, in milliseconds. */
-const crashRetentionMs = 3_600_000
 /** Maximum number of traits with crashes; suspects are evicted before quarantined ones, each the oldest first. */
 const maxTraits = 10_000
 /** Number of traits that are evicted together, so that an eviction costs little for each. */
@@ -23,8 +22,6 @@
 const maxAnswered = 10_000
 /** Time for which a crash that quarantined nothing is told to other processes, in milliseconds. */
 const suspectNoticeMs = 30_000
-/** Maximum number of crashes kept for one trait, the latest ones: more than decide anything. */
-const maxCrashes = 8
 /**
  * Time for which calls wait after an endpoint was beginning to answer one of them when it crashed, in milliseconds: those with
  * the same content, and those with all its suspected parts, if it has any.
@@ -38,9 +35,6 @@
 const PartQuarantineMs = { beginning: 30_000, waiting: 5000 } as const
 /** Factor on that time for each further crash. */
 const partQuarantineFactor = 4
-/** Time after an answer in which crashes are not held against its traits, in milliseconds. */
-const answerValidityMs = 10_000
-
 /** Separates service and part in the trait of a part; fingerprints do not contain it. */
 const partSeparator = '/'
 
@@ -61,14 +55,6 @@
 
 const isPartTrait = (trait: string): boolean => trait.includes(partSeparator)
 
-interface CrashRecord {
-  /** Latest crashes, by endpoint. */
-  crashes: Map<string, RequestCrash>
-  companions: readonly string[]
-  answeredMs: number
-  expiresAtMs: number
-}
-
 /** Crashes in the whole fleet, as known to one process. */
 export class CrashRegister {
   private readonly records = new Map<string, CrashRecord>()
@@ -172,7 +158,7 @@
     if (this.records.size === 0) return 0
     const quarantined = this.getQuarantined()
     const deciding = traits.filter((trait) => quarantined.has(trait) && this.hasAllCompanions(trait, traits))
-    const untilMs = deciding.map((trait) => trait === traits[0] ? this.find(trait)?.expiresAtMs ?? 0 : this.computePartQuarantineEnd(trait))
+    const untilMs = deciding.map((trait) => trait === traits[0] ? this.find(trait)?.getExpiry() ?? 0 : this.computePartQuarantineEnd(trait))
     return Math.max(this.computePauseMs(traits), ...untilMs.map((ms) => ms - this.clock.now()))
   }
 
@@ -188,15 +174,7 @@
 
   /** @returns what this process knows of a trait; `undefined` if it was at no crash */
   createNotice (trait: string): CrashNotice | undefined {
-    const record = this.find(trait)
-    if (record === undefined) return undefined
-    const nowMs = this.clock.now()
-    return {
-      trait,
-      crashes: [...record.crashes.values()].map(({ sentMs, crashedMs, ...crash }) => ({ ...crash, ageMs: nowMs - crashedMs, heldMs: crashedMs - sentMs })),
-      companions: [...record.companions],
-      ...(record.answeredMs === -Infinity ? {} : { answeredAgeMs: nowMs - record.answeredMs })
-    }
+    return this.find(trait)?.createNotice(trait, this.clock.now())
   }
 
   /** @returns notices of quarantined traits and recent suspects; successive calls go through all of them in turn */
@@ -218,9 +196,9 @@
 
   /** A companion that has been answered, or is no longer known, is not the cause and need not be there. */
   private hasAllCompanions (trait: string, traits: readonly string[]): boolean {
-    const companions = this.find(trait)?.companions
-    if (companions === undefined) return false
-    return companions.every((companion) => traits.includes(companion) || !this.isSuspect(companion))
+    const record = this.find(trait)
+    if (record === undefined) return false
+    return record.listCompanions().every((companion) => traits.includes(companion) || !this.isSuspect(companion))
   }
 
   /** @returns when calls with a quarantined part are tried again, in milliseconds of the clock */
@@ -251,7 +229,7 @@
 
   /** @returns time for which a request waits after the crash under a suspect; 0 unless it resembles the suspect */
   private choosePauseMs (traits: readonly string[], fingerprint: string): number {
-    const parts = this.find(fingerprint)?.companions.filter((trait) => trait !== fingerprint && this.isSuspect(trait)) ?? []
+    const parts = this.find(fingerprint)?.listCompanions().filter((trait) => trait !== fingerprint && this.isSuspect(trait)) ?? []
     if (parts.length > 0 && parts.every((part) => traits.includes(part))) return SuspectPauseMs.parts
     return traits[0] === fingerprint ? SuspectPauseMs.content : 0
   }
@@ -264,61 +242,37 @@
   }
 
   private describeSuspect (trait: string): SuspectedTrait {
-    const companions = this.find(trait)?.companions.filter((companion) => this.isSuspect(companion)) ?? []
+    const companions = this.find(trait)?.listCompanions().filter((companion) => this.isSuspect(companion)) ?? []
     return { trait, crashes: this.listValidCrashes(trait), companions: companions.length }
   }
 
   /** @returns whether the crash or the companions were not known */
   private addCrash (trait: string, companions: readonly string[], crash: RequestCrash): boolean {
-    const known = this.find(trait)
-    const record = known ?? { crashes: new Map<string, RequestCrash>(), companions, answeredMs: this.answeredMs.get(trait) ?? -Infinity, expiresAtMs: 0 }
-    const isNewCrash = this.addToLatest(record.crashes, crash)
-    const common = record.companions.filter((companion) => companions.includes(companion))
-    const isNew = isNewCrash || common.length < record.companions.length
-    record.companions = common
-    record.expiresAtMs = Math.max(record.expiresAtMs, crash.crashedMs + crashRetentionMs)
-    if (!isNew) return false
+    const record = this.find(trait) ?? new CrashRecord(companions, this.answeredMs.get(trait) ?? -Infinity)
+    if (!record.add(companions, crash)) return false
     this.records.delete(trait)
     this.records.set(trait, record)
     this.rotation.add(trait)
-    if (record.crashes.size > 1) this.repeated.add(trait)
+    if (record.count() > 1) this.repeated.add(trait)
     if (crash.isBeginning && !isPartTrait(trait)) this.beginningMs.set(trait, crash.crashedMs)
     this.quarantined = undefined
     return true
   }
 
-  /** Adds a crash if it is among the latest ones, or stronger evidence of a known one. @returns whether it was added */
-  private addToLatest (crashes: Map<string, RequestCrash>, crash: RequestCrash): boolean {
-    const known = crashes.get(crash.endpoint)
-    if (known !== undefined && (known.isBeginning || !crash.isBeginning)) return false
-    crashes.set(crash.endpoint, crash)
-    if (crashes.size <= maxCrashes) return true
-    const oldest = [...crashes.values()].reduce((one, other) => other.crashedMs < one.crashedMs ? other : one)
-    crashes.delete(oldest.endpoint)
-    return oldest !== crash
-  }
-
   /** @returns whether the answer clears the trait of a crash */
   private applyAnswer (trait: string, answeredMs: number): boolean {
-    const record = this.find(trait)
-    if (record === undefined || answeredMs <= record.answeredMs) return false
-    const validBefore = this.listValidCrashes(trait).length
-    record.answeredMs = answeredMs
-    if (this.listValidCrashes(trait).length === validBefore) return false
-    this.quarantined = undefined
-    return true
+    const isCleared = this.find(trait)?.applyAnswer(answeredMs) === true
+    if (isCleared) this.quarantined = undefined
+    return isCleared
   }
 
-  /** @returns the crashes of which no answer has cleared the trait */
   private listValidCrashes (trait: string): RequestCrash[] {
-    const record = this.find(trait)
-    if (record === undefined) return []
-    return [...record.crashes.values()].filter(({ crashedMs }) => crashedMs > record.answeredMs + answerValidityMs)
+    return this.find(trait)?.listValid() ?? []
   }
 
   private find (trait: string): CrashRecord | undefined {
     const record = this.records.get(trait)
-    if (record === undefined || record.expiresAtMs > this.clock.now()) return record
+    if (record === undefined || record.getExpiry() > this.clock.now()) return record
     this.remove(trait)
     return undefined
   }
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -258,8 +258,8 @@
   },
   {
     mechanism: 'an answer clears a request of crashes',
-    file: 'routing/dist/lib/crash-register.js',
-    from: 'crashedMs > record.answeredMs + answerValidityMs',
+    file: 'routing/dist/lib/crash-record.js',
+    from: 'crashedMs > this.answeredMs + answerValidityMs',
     to: 'crashedMs > 0',
     test: 'routing/dist/test/crash-register_property_test.js'
   },
