Tell the other entries only the crashes that an entry saw, or clears

Seen when reading the diff for its traffic at hundreds of entries: an entry sent on what it had been told, although the sidecar had sent it to all entries, so that each crash cost every entry a message for every call at the endpoint. It now sends the crashes that it saw itself, and answers that clear a trait it was told of. crash-monitor_test shows both; crashing-calls_test and crashing-prompt-parts_test pass as before.

--- a/packages/clementineloft/src/lib/forwarding/crash-monitor.ts
+++ b/packages/clementineloft/src/lib/forwarding/crash-monitor.ts
@@ -26,7 +26,7 @@
 
 /** Receives what a {@link CrashMonitor} finds out. */
 export interface CrashListener {
-  /** Called when more calls are refused than before, so that attempts in progress end. */
+  /** Called when other calls may be refused than before, so that attempts in progress end. */
   handleQuarantine: () => void
   /** Called with news for the other entries. */
   handleNews: (notices: CrashNotice[]) => void
@@ -63,7 +63,9 @@
   /** Records a call that lost its endpoint while it waited for its answer. Counts only if the endpoint has ended. */
   async recordLoss ({ traits, endpoint, sentMs, isBeginning }: LostCall): Promise<void> {
     const crash = { endpoint: `${endpoint.id}@${endpoint.bornMs}`, sentMs, crashedMs: this.clock.now(), isBeginning }
-    if (await this.probe.isClosed(endpoint.address)) this.broadcast(this.register.recordCrash(traits, crash))
+    if (!await this.probe.isClosed(endpoint.address)) return
+    const changed = this.register.recordCrash(traits, crash)
+    this.applyChanges(changed.length, changed)
   }
 
   /** Records that a call has left its endpoints without an answer that cleared it. */
@@ -78,12 +80,18 @@
 
   /** Records that the endpoint has answered a call, so that the call has not crashed it. */
   recordAnswer (traits: readonly string[]): void {
-    this.broadcast(this.register.recordAnswer(traits))
+    const cleared = this.register.recordAnswer(traits)
+    this.applyChanges(cleared.length, cleared)
   }
 
-  /** Records what other entries know. */
+  /**
+   * Records what other entries know. Sidecars have told all entries already, so that only answers which clear a trait here
+   * are news.
+   */
   applyNotices (notices: readonly CrashNotice[]): void {
-    this.broadcast(notices.filter((notice) => this.register.merge(notice)).map(({ trait }) => trait))
+    const changed = notices.filter((notice) => this.register.merge(notice))
+    const cleared = changed.filter(({ trait, answeredAgeMs }) => answeredAgeMs === undefined && !this.register.isSuspect(trait))
+    this.applyChanges(changed.length, cleared.map(({ trait }) => trait))
   }
 
   /** @returns some of the known crashes; successive calls go through all of them in turn */
@@ -91,17 +99,21 @@
     return this.register.listNextNotices(maxNotices)
   }
 
-  /** @param changed - traits of which other entries should know more */
-  private broadcast (changed: readonly string[]): void {
-    if (changed.length === 0) return
-    this.listener?.handleNews(changed.flatMap((trait) => this.register.createNotice(trait) ?? []))
+  /**
+   * @param changes - number of traits of which this entry knows more than before
+   * @param news - those of which the other entries should know more
+   */
+  private applyChanges (changes: number, news: readonly string[]): void {
+    if (changes === 0) return
+    if (news.length > 0) this.listener?.handleNews(news.flatMap((trait) => this.register.createNotice(trait) ?? []))
     const before = this.quarantined
     this.quarantined = this.register.listQuarantined()
-    const added = this.quarantined.filter((trait) => !before.includes(trait))
     for (const trait of before) {
       if (!this.quarantined.includes(trait)) this.journal.record({ name: 'call-cleared', data: { trait } })
     }
-    for (const trait of added) this.recordQuarantine(trait)
+    for (const trait of this.quarantined) {
+      if (!before.includes(trait)) this.recordQuarantine(trait)
+    }
     this.listener?.handleQuarantine()
   }
 
