--- a/packages/clementineloft/src/lib/forwarding/call-attempt.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-attempt.ts
@@ -137,6 +137,7 @@
     this.evidence.recordAnswer()
   }
 
+  /** Records that the call leaves the endpoints of its path; plain services show a crash at once. */
   private recordDeparture (): void {
     const { parts } = this.currentPlacement
     if (parts !== undefined) this.evidence.recordDeparture(parts.map((part) => part.endpoint), this.sentMs)
@@ -173,7 +174,7 @@
     const { endpoint } = this.currentPlacement
     this.recordFailure(endpoint.id, FailureEvidence.lost)
     if (wasSent) void this.evidence.recordLoss(endpoint, this.sentMs, false)
-    this.recordLoss('endpoint-lost', reason, wasSent)
+    this.recordLostEndpoint('endpoint-lost', reason, wasSent)
     this.end({ end: wasSent ? AttemptEnd.unknown : AttemptEnd.notRun, mayHaveRun: wasSent })
   }
 
@@ -251,12 +252,12 @@
   }
 
   private handleTruncated (reason: string): void {
-    this.recordLoss('answer-cut', reason, true)
+    this.recordLostEndpoint('answer-cut', reason, true)
     const isBeginning = this.isOnlyBeginning()
-    const evidence = this.evidence.recordLoss(this.currentPlacement.endpoint, this.sentMs, isBeginning)
+    const probed = this.evidence.recordLoss(this.currentPlacement.endpoint, this.sentMs, isBeginning)
     const end = (): void => { this.end({ end: this.resolveEnd(AttemptEnd.unknown), mayHaveRun: true }) }
     // A call that may just have crashed its endpoint goes to no other one before this is known.
-    if (isBeginning) void evidence.then(end)
+    if (isBeginning) void probed.then(end)
     else end()
   }
 
@@ -268,7 +269,7 @@
   }
 
   /** Records that the endpoint was lost, and which content it had at that time. */
-  private recordLoss (name: string, reason: string, wasSent: boolean): void {
+  private recordLostEndpoint (name: string, reason: string, wasSent: boolean): void {
     const { progress } = this
     const { call, traits: [fingerprint = ''] } = this.admittedCall
     const { address } = this.currentPlacement.endpoint
