--- a/review/1/run.js
+++ b/review/1/run.js
@@ -7,6 +7,7 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import { createConnection, sendAttempt } from '../lib/caller.js'
 import { Deployment } from '../lib/deployment.js'
+import { FaultShare } from '../lib/fault-share.js'
 import { runCase } from '../lib/run-case.js'
 import { computeAnswer } from '../lib/service-worker.js'
 
@@ -16,8 +17,8 @@
 /** Windows of the disruption, as on the sheets: 5 s each, with pauses between. */
 const faultMs = 5000
 const calmMs = 1000
-/** One answer in so many is broken off: a share of 0.05, as on the sheets. */
-const breakInterval = 20
+/** Share of the answers that are broken off, as on the sheets. */
+const breakShare = 0.05
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (record, hasTrouble, deployments) => {
   const deployment = new Deployment(record, [
@@ -32,10 +33,10 @@
   const startMs = record.now()
   const broken = new Map()
   const [faulty] = deployment.workers
-  let answers = 0
+  const share = new FaultShare(breakShare)
   faulty.findFault = (call) => {
     const isFaultTime = (record.now() - startMs) % (calmMs + faultMs) > calmMs
-    if (!hasTrouble || !isFaultTime || answers++ % breakInterval !== 0) return undefined
+    if (!hasTrouble || !isFaultTime || !share.takeNext()) return undefined
     broken.set(call.id, faulty.id)
     return { breakOff: true }
   }
@@ -58,7 +59,7 @@
   for (const { answer } of results) {
     if (broken.has(answer.id)) record.add(`${answer.id}: an answer of ${broken.get(answer.id)} was reset half-way; the caller got status ${answer.status}, ${answer.body.length} bytes, ${answer.isComplete ? 'complete' : 'broken off'}`)
   }
-  record.add(`${results.length} attempts, ${broken.size} answers reset half-way`)
+  record.add(`${results.length} attempts, ${broken.size} answers reset half-way: ${share.describe()}`)
   return results.filter(({ answer, isWhole }) => answer.status === 200 && answer.isComplete && !isWhole)
     .map(({ answer }) => `MIXED: attempt ${answer.id} was answered 200 with ${answer.body.length} bytes as complete, after its endpoint's answer was reset`)
 })
