--- a/review/4/run.js
+++ b/review/4/run.js
@@ -6,6 +6,7 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import { createConnection, sendAttempt } from '../lib/caller.js'
 import { Deployment } from '../lib/deployment.js'
+import { FaultShare } from '../lib/fault-share.js'
 import { runCase } from '../lib/run-case.js'
 
 const callers = 24
@@ -13,8 +14,8 @@
 const calmMs = 3000
 /** Length of the disruption, as on the sheets. */
 const faultMs = 5000
-/** One answer in so many is spoiled: a share of 0.02, below the largest dose on the sheets. */
-const spoilInterval = 50
+/** Share of the answers that are spoiled, as on the sheets. */
+const spoilShare = 0.02
 /** Longest pause of a client between two calls, in milliseconds. */
 const maxPauseMs = 40
 const answerTimeMs = 100
@@ -33,12 +34,12 @@
   await deployment.waitUntilReady()
   const startMs = record.now()
   const [faulty] = deployment.workers
-  let answers = 0
+  const share = new FaultShare(spoilShare)
   let spoiled = 0
   faulty.findFault = (call) => {
     const elapsedMs = record.now() - startMs
     if (!hasTrouble || elapsedMs < calmMs || elapsedMs > calmMs + faultMs) return undefined
-    if (answers++ % spoilInterval !== 0) return undefined
+    if (!share.takeNext()) return undefined
     spoiled++
     record.add(`${faulty.id} spoils a byte in the head of its answer to ${call.id}`)
     return { spoil }
@@ -60,6 +61,6 @@
   const closed = results.filter(({ answer }) => answer.status === 0 && answer.isKept && soundRuns.has(answer.id))
   for (const { answer, atMs } of closed) record.add(`${answer.id}: sent on a kept connection, run by ${soundRuns.get(answer.id)}, closed without an answer (${answer.error}) at ${atMs.toFixed(0)} ms`)
   record.add(`${results.length} attempts, ${answered} answered with 200, ${results.filter(({ answer }) => answer.status === 0).length} without an answer`)
-  record.add(`${spoiled} answers spoiled, the entry ended ${entry.exits.length} times by itself`)
+  record.add(`${spoiled} answers spoiled (${share.describe()}), the entry ended ${entry.exits.length} times by itself`)
   return closed.length > allowed ? [`LOST: ${closed.length} requests from kept connections were passed on to sound endpoints and closed without an answer`] : []
 })
