Take an answer that cannot be sent on for malformed, not for a reason to end

Cause: the parser of the runtime accepts text that its writer refuses to send, and the program passed it from the one to the other; the writer threw in an event handler. Ruled out: that the parser throws (the stack names AnswerWriter.sendWhole).

Related paths with the same cause, each shown on real processes: a caller's request with such a target or header name was answered 500 and its deadline then answered again, which ended the entry; an event id with a control character ended it when the stream was resumed.

Why this works: status and headers of an answer, and target and headers of a request, are checked once, before anything believes them, with the runtime's own rules. A malformed answer is evidence of nothing, so that a look-up is repeated and a booking is answered 502. An event id that cannot be sent on ends the stream visibly instead of resuming it.

--- a/packages/clementineloft/src/lib/adapters/http-plain-service.ts
+++ b/packages/clementineloft/src/lib/adapters/http-plain-service.ts
@@ -1,7 +1,8 @@
 /**
  * Adapter of a plain service over HTTP.
  */
-import { SystemClock } from '@clementineloft/kernel'
+import { createError, ErrorKind, Outcome, SystemClock } from '@clementineloft/kernel'
+import { findHeaderFault, isFinalStatus } from '../callers/message-text.js'
 import { plainServices } from './adapters.js'
 import { HttpClient } from './http-client.js'
 import { ListenProbe } from './listen-probe.js'
@@ -49,6 +50,8 @@
     const responseHeaders = Object.entries(reply.headers)
       .filter(([name, value]) => typeof value === 'string' && !hopByHopHeaders.has(name))
       .flatMap(([name, value]) => [name, value as string])
+    const fault = isFinalStatus(reply.status) ? findHeaderFault(responseHeaders) : `status ${reply.status} is not that of a final answer`
+    if (fault !== undefined) throw createError(ErrorKind.endpointFailed, `the answer of the service is malformed: ${fault}`, { outcome: Outcome.unknown })
     return { status: reply.status, headers: responseHeaders, body: reply.body.toString('base64') }
   }
 
--- a/packages/clementineloft/src/lib/callers/service-handler.ts
+++ b/packages/clementineloft/src/lib/callers/service-handler.ts
@@ -10,6 +10,7 @@
 import type { RoutedCall } from '../endpoints/routed-call.js'
 import type { ServiceConfig } from '../operators/config-document.js'
 import { sendJson } from './http-server.js'
+import { findHeaderFault } from './message-text.js'
 import type { ProcessContext } from '../peers/process-context.js'
 
 const maxKeyLength = 255
@@ -80,6 +81,8 @@
     incoming: IncomingMessage
   ): RoutedCall {
     const method = incoming.method as string
+    const fault = findHeaderFault(incoming.rawHeaders)
+    if (fault !== undefined) throw createError(ErrorKind.badRequest, `the request cannot be forwarded: ${fault}`)
     const key = this.parseIdempotencyKey(incoming.headers['idempotency-key'])
     const isIdempotent = config.idempotentMethods.includes(method)
     const request = createIdentifier()
--- a/packages/clementineloft/src/lib/forwarding/call-attempt.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-attempt.ts
@@ -6,6 +6,7 @@
 import { AttemptEnd, FailureEvidence, Repeatability } from '@clementineloft/routing'
 import type { CallEndpoint, PathPart } from '@clementineloft/routing'
 import type { AnswerWriter } from '../callers/answer-writer.js'
+import { findHeaderFault, isFinalStatus } from '../callers/message-text.js'
 import type { AdmittedCall } from './admitted-call.js'
 import { AnswerRelay } from './answer-relay.js'
 import type { EndpointFailure } from './attempt-history.js'
@@ -65,6 +66,10 @@
 } as const
 type AnswerProgress = typeof AnswerProgress[keyof typeof AnswerProgress]
 
+/** @returns what keeps an answer from being an answer to a caller; `undefined` if nothing does */
+const findHeadFault = ({ status, headers }: AnswerHead): string | undefined =>
+  isFinalStatus(status) ? findHeaderFault(headers) : `status ${status} is not that of a final answer`
+
 /** @returns the path of a call as text for the journal */
 const describePath = ({ endpoint, parts }: Placement): string =>
   parts?.map((part) => `${part.endpoint.address}=${part.from}-${part.to}`).join(' ') ?? endpoint.address
@@ -185,6 +190,11 @@
     }
     const head = this.context.protocol.readHead(this.admittedCall.call, response)
     const { endpoint } = this.currentPlacement
+    const fault = findHeadFault(head)
+    if (fault !== undefined) {
+      this.handleMalformedHead(fault)
+      return
+    }
     if (head.load !== undefined) this.context.directory.loads.recordReport(endpoint.id, head.load.running + head.load.waiting)
     if (!head.isForThisCall) {
       response.destroy()
@@ -203,6 +213,15 @@
     else this.readFailure(head, response)
   }
 
+  /** Nothing in a malformed head is evidence, not even that the call did not run. */
+  private handleMalformedHead (reason: string): void {
+    const { endpoint } = this.currentPlacement
+    this.recordFailure(endpoint.id, FailureEvidence.failed)
+    this.context.metrics.count('answers_malformed_total')
+    this.listener.record('answer-malformed', { endpoint: endpoint.address, reason })
+    this.end({ end: this.resolveEnd(AttemptEnd.unknown), mayHaveRun: true })
+  }
+
   private handleNotRun (head: AnswerHead): void {
     const { endpoint } = this.currentPlacement
     const failedEndpoint = head.failedAddress === undefined ? endpoint : this.context.directory.findByAddress(head.failedAddress)
--- a/packages/clementineloft/src/lib/forwarding/call-run.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-run.ts
@@ -8,6 +8,7 @@
 import { AttemptEnd, canRunAgain, computeRetryDelay, NextStep } from '@clementineloft/routing'
 import type { CallEndpoint, PathPart } from '@clementineloft/routing'
 import { AnswerWriter } from '../callers/answer-writer.js'
+import { isHeaderValue } from '../callers/message-text.js'
 import type { AdmittedCall } from './admitted-call.js'
 import { AttemptHistory } from './attempt-history.js'
 import type { FinalStep } from './attempt-history.js'
@@ -110,7 +111,7 @@
     const { placement: callPlacement } = this.context
     const avoidedIds = new Set(this.attemptHistory.triedEndpointIds)
     if (this.attempt !== undefined) avoidedIds.add(this.attempt.getPlacement().endpoint.id)
-    return canRunAgain(route) && this.attemptHistory.hasAttemptLeft() && callPlacement.find(service, call.size, avoidedIds) !== undefined
+    return canRunAgain(route) && this.canResume() && this.attemptHistory.hasAttemptLeft() && callPlacement.find(service, call.size, avoidedIds) !== undefined
   }
 
   /**
@@ -204,8 +205,14 @@
     this.attempt = undefined
     if (failure !== undefined) this.attemptHistory.failure = failure
     const step = this.attemptHistory.recordEnd(end, mayHaveRun, this.deadlineMs - this.context.clock.now())
-    if (step === NextStep.repeat) this.sendOrEnqueue()
-    else this.finish(step, `the last attempt ended as ${end}`)
+    if (step !== NextStep.repeat) this.finish(step, `the last attempt ended as ${end}`)
+    else if (this.canResume()) this.sendOrEnqueue()
+    else this.finish(NextStep.cutOff, 'the id of the last event cannot be sent to another endpoint')
+  }
+
+  /** @returns whether another endpoint can be told after which event to go on */
+  private canResume (): boolean {
+    return this.lastEventId === undefined || isHeaderValue(this.lastEventId)
   }
 
   private finishUnplaced (reason: string): void {
--- a/packages/clementineloft/src/lib/forwarding/forwarding-host.ts
+++ b/packages/clementineloft/src/lib/forwarding/forwarding-host.ts
@@ -6,11 +6,19 @@
 import type { RouteTable } from '@clementineloft/routing'
 import { CallHost } from '../callers/call-host.js'
 import type { AcceptedCall } from '../callers/call-host.js'
+import { findHeaderFault, isRequestTarget } from '../callers/message-text.js'
 import type { ForwardedCall } from './call-protocol.js'
 import { CallRun } from './call-run.js'
 import { computeCallTraits } from './call-traits.js'
 import type { ForwardingContext } from './forwarding-context.js'
 
+/** @throws `bad-request` unless the call can be sent on with its target and headers */
+const checkText = ({ target, headers }: ForwardedCall): void => {
+  if (!isRequestTarget(target)) throw createError(ErrorKind.badRequest, 'the target of the request has a blank or a control character')
+  const fault = findHeaderFault(headers)
+  if (fault !== undefined) throw createError(ErrorKind.badRequest, `the request cannot be forwarded: ${fault}`)
+}
+
 /** Admits calls by the current routes. */
 export class ForwardingHost extends CallHost<ForwardedCall> {
   private routes: RouteTable | undefined
@@ -40,6 +48,7 @@
     if (team === undefined && routes.hasTeams() && !route.isPublic) {
       throw createError(ErrorKind.unauthorized, 'the API key is missing or belongs to no team')
     }
+    checkText(call)
     const rank = team?.priority ?? route.priority
     return {
       maxBodyBytes: routes.config.limits.maxBodyBytes,
--- a/packages/stand-ins/src/emulator/emulated-call.ts
+++ b/packages/stand-ins/src/emulator/emulated-call.ts
@@ -95,9 +95,12 @@
 export const computeBody = (call: Pick<EmulatedCall, 'method' | 'target' | 'body'>): string =>
   computeDigestText(call.method, call.target, call.body)
 
-/** @returns the event that every model endpoint sends at a position of a stream, starting at 1 */
-export const computeEvent = (call: Pick<EmulatedCall, 'target' | 'body'>, position: number): string =>
-  `id: ${position}\ndata: ${computeDigestText(call.target, call.body, position)}\n\n`
+/**
+ * @param idSuffix - text at the end of the event's id
+ * @returns the event that every model endpoint sends at a position of a stream, starting at 1
+ */
+export const computeEvent = (call: Pick<EmulatedCall, 'target' | 'body'>, position: number, idSuffix = ''): string =>
+  `id: ${position}${idSuffix}\ndata: ${computeDigestText(call.target, call.body, position)}\n\n`
 
 /** Refuses a call and marks it as not executed. */
 export const refuse = (response: ServerResponse, call: EmulatedCall, status: number, headers: Record<string, string> = {}): void => {
--- a/packages/stand-ins/src/emulator/emulated-service.ts
+++ b/packages/stand-ins/src/emulator/emulated-service.ts
@@ -23,6 +23,8 @@
   private readonly server: Server = createServer((request, response) => { void this.handle(request, response) })
   /** Number of next answers whose head breaks off in the middle. */
   cutHeads = 0
+  /** Changes the head of each answer before it is sent, as latin1 text. */
+  spoilHead: ((head: string) => string) | undefined
   private running = 0
   private born = 1
 
@@ -121,6 +123,11 @@
       socket?.end(`HTTP/1.1 200 OK\r\nAttempt-Id: ${call.id}\r\nServer-Signature: ${this.id}\r\nContent-Le`)
       return
     }
+    if (this.spoilHead !== undefined) {
+      const lines = Object.entries({ ...headers, 'content-length': body.length }).map(([name, value]) => `${name}: ${value}\r\n`)
+      socket?.end(this.spoilHead(`HTTP/1.1 200 OK\r\n${lines.join('')}\r\n`) + body, 'latin1')
+      return
+    }
     if (answerFault === AnswerFault.hang) return
     if (answerFault === AnswerFault.lostAnswer) socket?.resetAndDestroy()
     else if (answerFault === AnswerFault.failure) {
--- a/packages/stand-ins/src/emulator/emulated-worker.ts
+++ b/packages/stand-ins/src/emulator/emulated-worker.ts
@@ -59,6 +59,8 @@
   resumeAnswers = 0
   /** Whether streams have neither a length nor chunks and end with their connection. */
   isCloseDelimited = false
+  /** Text at the end of the id of each event. */
+  eventIdSuffix = ''
   /** Calls that produced an event on a path that does not contain every layer exactly once and in order. */
   readonly invalidPathCallIds: string[] = []
 
@@ -270,7 +272,7 @@
       }
       if (!isCompletePath(stream.parts)) this.fleet.invalidPathCallIds.push(call.id)
       position++
-      response.write(computeEvent(call, position))
+      response.write(computeEvent(call, position, this.fleet.eventIdSuffix))
       if (position < emulatedModel.events) return
       clearInterval(timer)
       this.streams.delete(call.id)
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -4,6 +4,13 @@
  */
 
 export const mutants = [
+  {
+    mechanism: 'an answer that cannot be sent on is a failure of its endpoint',
+    file: 'clementineloft/dist/lib/adapters/http-plain-service.js',
+    from: 'if (fault !== undefined)',
+    to: 'if (false)',
+    test: 'clementineloft/dist/test/http-plain-service_test.js'
+  },
   {
     mechanism: 'a released lease is taken at once',
     file: 'coordination/dist/lib/timed-lease.js',
