Count no call as load of an endpoint after it has ended

What callers saw: of two sound endpoints one got no call any more, 321 look-ups in a row, after a booking there had ended at its deadline.

Cause: LoadTable counts calls sent since an endpoint's last report until the next report. A call that ends without an answer (deadline, lost connection, caller gone) brings none, and an endpoint that counts as busier than an idle one gets no call that could bring one. Evidence: the last call at that endpoint is the one that ended at its deadline. Ruled out: failure rate (no endpoint-failed line for it), exclusion (2.5 s at that time, the calls went elsewhere for 80 s).

--- a/packages/routing/src/lib/load-table.ts
+++ b/packages/routing/src/lib/load-table.ts
@@ -25,13 +25,14 @@
   }
 
   /**
-   * Records that a request at an endpoint has ended.
+   * Records that a request at an endpoint has ended, with or without a report of the endpoint.
    *
    * @param endpoint - name of the endpoint
    */
   recordEnd (endpoint: string): void {
     const load = this.getLoad(endpoint)
     load.inFlight = Math.max(0, load.inFlight - 1)
+    load.sentSinceReport = Math.min(load.sentSinceReport, load.inFlight)
   }
 
   /**
