Tell a reset that arrives with an answer's last bytes from its end

Cause: when a connection hangs up after a read that did not fill its buffer, the runtime reports an end and never the reset. Ruled out: an error that is reported too late (it never is).

Related paths: HttpClient (store, engines, orders, plain services of the product's own protocol) returned such bodies as whole ones, and the caller of the emulated platform believed them; both use the same detector now.

--- a/packages/clementineloft/src/lib/adapters/http-client.ts
+++ b/packages/clementineloft/src/lib/adapters/http-client.ts
@@ -5,6 +5,7 @@
 import { Agent, request as openRequest } from 'node:http'
 import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http'
 import { createError, ErrorKind, Outcome } from '@clementineloft/kernel'
+import { ResetDetector } from './reset-detector.js'
 
 /** A request to send. */
 export interface HttpCall {
@@ -48,6 +49,7 @@
       }
       const headers = call.body === undefined ? call.headers : { ...call.headers, 'content-length': call.body.byteLength }
       const request = openRequest(call.url, { method: call.method, headers, agent: this.agent, signal: call.signal })
+      const resets = new ResetDetector(request)
       const timer = setTimeout(() => {
         reject(createError(ErrorKind.deadline, `${call.method} ${call.url.origin}${call.url.pathname}: no answer within ${call.timeoutMs} ms`, {
           outcome: Outcome.unknown
@@ -68,7 +70,8 @@
         })
         response.on('aborted', () => { fail('connection closed before the response was complete') })
         response.on('end', () => {
-          resolve({ status: response.statusCode as number, headers: response.headers, body: Buffer.concat(chunks) })
+          if (resets.hasBeenReset()) fail('connection reset before the response was complete')
+          else resolve({ status: response.statusCode as number, headers: response.headers, body: Buffer.concat(chunks) })
         })
       })
       request.end(call.body)
--- a/packages/clementineloft/src/lib/forwarding/endpoint-exchange.ts
+++ b/packages/clementineloft/src/lib/forwarding/endpoint-exchange.ts
@@ -7,6 +7,7 @@
 import type { Socket } from 'node:net'
 import { getErrorMessage } from '@clementineloft/kernel'
 import type { Clock, Timer } from '@clementineloft/kernel'
+import { ResetDetector } from '../adapters/reset-detector.js'
 import { EndpointAgent } from './endpoint-agent.js'
 
 /** Request to send. */
@@ -54,9 +55,9 @@
 /** One request in progress. */
 export class EndpointExchange {
   private readonly outgoing: ClientRequest
+  private readonly resets: ResetDetector
   private isConnected = false
   private isFinished = false
-  private isReset = false
   private connectTimer: Timer | undefined
 
   constructor (
@@ -75,6 +76,7 @@
       headers: request.headers as unknown as string[],
       setHost: false
     })
+    this.resets = new ResetDetector(this.outgoing)
     this.outgoing.on('socket', (socket) => { this.watchConnection(socket, request.connectTimeoutMs, clock) })
     this.outgoing.on('response', (response) => { this.acceptResponse(response) })
     this.outgoing.on('error', (error) => { this.fail(getErrorMessage(error)) })
@@ -89,17 +91,13 @@
     this.outgoing.destroy()
   }
 
-  /** @returns whether the connection was reset; a body without a length then appears complete although it may not be */
+  /** @returns whether the connection was reset before the answer was complete; a body without a length then appears complete */
   hasBeenReset (): boolean {
-    return this.isReset
+    return this.resets.hasBeenReset()
   }
 
   private watchConnection (socket: Socket, timeoutMs: number, clock: Clock): void {
     socket.setNoDelay(true)
-    const recordReset = (): void => { this.isReset = true }
-    // Runs before the listener of the HTTP parser, which treats an error as the end of a body without a length.
-    socket.prependListener('error', recordReset)
-    this.outgoing.once('close', () => { socket.off('error', recordReset) })
     if (!socket.connecting) {
       this.isConnected = true
       return
--- a/packages/stand-ins/src/emulator/emulated-call.ts
+++ b/packages/stand-ins/src/emulator/emulated-call.ts
@@ -14,6 +14,8 @@
   lostAnswer: 'lost-answer',
   /** The answer has no Content-Length and the connection is reset before its end. */
   unframedReset: 'unframed-reset',
+  /** The same, with the reset right behind the last bytes. */
+  unframedResetAtOnce: 'unframed-reset-at-once',
   /** The connection ends before the announced Content-Length is reached. */
   shortBody: 'short-body',
   /** The answer carries the identity of another call. */
--- a/packages/stand-ins/src/emulator/emulated-caller.ts
+++ b/packages/stand-ins/src/emulator/emulated-caller.ts
@@ -5,6 +5,7 @@
 import { request as openRequest } from 'node:http'
 import type { Agent, IncomingHttpHeaders } from 'node:http'
 import { createIdentifier } from '@clementineloft/kernel'
+import { ResetDetector } from 'clementineloft/internals'
 
 /** A call to send. */
 export interface CallerRequest {
@@ -58,9 +59,7 @@
       ...call.headers
     }
   })
-  let isReset = false
-  // Runs before the listener of the HTTP parser, which takes a reset for the end of a body without a length.
-  outgoing.on('socket', (socket) => { socket.prependListener('error', () => { isReset = true }) })
+  const resets = new ResetDetector(outgoing)
   outgoing.on('response', (response) => {
     answer.status = response.statusCode ?? 0
     answer.headers = response.headers
@@ -74,7 +73,7 @@
     })
     response.on('error', () => { /* The close event follows. */ })
     response.on('close', () => {
-      answer.isComplete = response.complete && !isReset
+      answer.isComplete = response.complete && !resets.hasBeenReset()
       resolve(answer)
     })
   })
--- a/packages/stand-ins/src/emulator/emulated-service.ts
+++ b/packages/stand-ins/src/emulator/emulated-service.ts
@@ -139,10 +139,11 @@
     } else if (answerFault === AnswerFault.shortBody) {
       response.writeHead(200, { ...headers, 'content-length': body.length })
       response.write(body.slice(0, 10), () => { socket?.destroy() })
-    } else if (answerFault === AnswerFault.unframedReset) {
+    } else if (answerFault === AnswerFault.unframedReset || answerFault === AnswerFault.unframedResetAtOnce) {
       const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
       socket?.write(`HTTP/1.1 200 OK\r\n${lines}Connection: close\r\n\r\n${body.slice(0, 10)}`, () => {
-        setTimeout(() => { socket.resetAndDestroy() }, processingMs)
+        if (answerFault === AnswerFault.unframedResetAtOnce) socket.resetAndDestroy()
+        else setTimeout(() => { socket.resetAndDestroy() }, processingMs)
       })
     } else {
       response.writeHead(200, { ...headers, 'content-length': body.length })
--- a/packages/stand-ins/src/test/platform_test.ts
+++ b/packages/stand-ins/src/test/platform_test.ts
@@ -104,6 +104,19 @@
   assert.ok(booking.status === 502 || !booking.isComplete, `status ${booking.status}, body of ${booking.body.length}`)
 })
 
+test('a truncated answer whose reset arrives with its last bytes is never forwarded as complete, to a look-up or a booking', async () => {
+  for (let call = 0; call < 20; call++) {
+    setAnswerFaults(AnswerFault.unframedResetAtOnce)
+    const booking = await send('/bookings/at-once', { body: 'x' })
+    setAnswerFaults(AnswerFault.unframedResetAtOnce)
+    const lookUp = await send('/lookups/at-once', { method: 'GET' })
+    setAnswerFaults()
+    assert.equal(booking.status, 502)
+    assert.ok([200, 502].includes(lookUp.status), `status ${lookUp.status}`)
+    if (lookUp.status === 200) assert.equal(lookUp.body, computeBody({ method: 'GET', target: '/lookups/at-once', body: '' }))
+  }
+})
+
 test('a booking without an answer ends at the timeout of its route, and is neither reported as refused nor retried', async () => {
   setAnswerFaults(AnswerFault.hang)
   const startedMs = Date.now()
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -4,6 +4,20 @@
  */
 
 export const mutants = [
+  {
+    mechanism: 'a reset that arrives with the last bytes is no end',
+    file: 'clementineloft/dist/lib/adapters/reset-detector.js',
+    from: 'socket.remoteAddress === undefined',
+    to: 'false',
+    test: 'clementineloft/dist/test/reset-detector_test.js'
+  },
+  {
+    mechanism: 'a call that has ended is no load of its endpoint',
+    file: 'routing/dist/lib/load-table.js',
+    from: 'Math.min(load.sentSinceReport, load.inFlight)',
+    to: 'load.sentSinceReport',
+    test: 'routing/dist/test/load-table_test.js'
+  },
   {
     mechanism: 'an answer that cannot be sent on is a failure of its endpoint',
     file: 'clementineloft/dist/lib/adapters/http-plain-service.js',
