Send callers a length or chunks, so that a cut stream does not look complete

SIGKILL had the same effect at once (stopping-entry_test, "looks complete with 108 of 1091 bytes after SIGKILL").

Cause: the entry passed the endpoint's framing on, so that every way in which the entry ends was the end of the answer; and a stop closed the connections of running calls without ending the calls. Evidence: no call-ended line for these streams, so that the entry did not take them for complete; with SIGKILL nothing of the program runs, so that a reset alone could not mend it.

Why this works: framing concerns one hop. A caller of HTTP/1.1 gets a length for a body that is known whole, and chunks otherwise; without the last chunk an answer is cut, whoever ends the process. At the end of the grace period each call that is left ends by its own state machine, which cuts off a begun answer (a reset for HTTP/1.0) and answers any other.

Tests: stopping-entry_test, two of its three failed before (the third, streams in chunks, held); answer-writer_test for both versions. The field isCloseDelimited is gone, and with it two comparisons in platform-protocol_test: what they guarded (the framing is taken over) is no longer wanted, and the new tests check the framing that callers see.

--- a/packages/clementineloft/src/lib/callers/answer-writer.ts
+++ b/packages/clementineloft/src/lib/callers/answer-writer.ts
@@ -8,16 +8,16 @@
 /** The part of an endpoint's answer head that is forwarded to the caller. */
 export interface ForwardedHead {
   status: number
-  /** Whether the body is delimited by the end of the connection, so that a truncated body looks complete. */
-  isCloseDelimited: boolean
   /** Headers for the caller, as alternating names and values. */
   headers: string[]
 }
 
+/** Statuses whose answers have no body and no length. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304])
+
 /** The answer to one call. */
 export class AnswerWriter {
   private isWaitingForDrain = false
-  private isCloseDelimited = false
 
   /**
    * @param response - response to write to
@@ -53,21 +53,18 @@
 
   /** Sends an endpoint's answer with its complete body. */
   sendWhole (head: ForwardedHead, body: Buffer): void {
-    const length = head.isCloseDelimited ? [] : ['Content-Length', String(body.byteLength)]
-    this.begin(head, length)
+    this.begin(head, bodilessStatuses.has(head.status) ? [] : ['Content-Length', String(body.byteLength)])
     this.response.end(body)
   }
 
   /**
-   * Sends the head of an answer whose body follows in chunks. A body that is delimited by the end of the connection
-   * stays so: it is sent without chunked encoding, and the connection closes after it.
+   * Sends the head of an answer whose body follows. It is sent in chunks, whatever its endpoint's framing, so that the caller
+   * can tell a cut answer, also when this process is killed. Only to a caller of HTTP/1.0 it ends with the connection.
    *
    * @param extraHeaders - further headers, as alternating names and values
    */
   begin (head: ForwardedHead, extraHeaders: readonly string[] = []): void {
-    this.isCloseDelimited = head.isCloseDelimited
-    if (head.isCloseDelimited) this.response.useChunkedEncodingByDefault = false
-    if (head.isCloseDelimited || this.closesConnection()) this.response.shouldKeepAlive = false
+    if (this.closesConnection()) this.response.shouldKeepAlive = false
     this.response.writeHead(head.status, [...head.headers, ...extraHeaders])
   }
 
@@ -96,10 +93,10 @@
 
   /**
    * Aborts the answer by closing the connection, so that the caller can tell that it is incomplete. The connection of an
-   * answer that ends with it is reset, since the caller would take its mere end for that of the answer.
+   * answer without chunks is reset, since the caller could take its mere end for that of the answer.
    */
   cutOff (): void {
-    if (this.isCloseDelimited) this.response.socket?.resetAndDestroy()
+    if (!this.response.chunkedEncoding) this.response.socket?.resetAndDestroy()
     this.response.destroy()
   }
 }
--- a/packages/clementineloft/src/lib/forwarding/call-run.ts
+++ b/packages/clementineloft/src/lib/forwarding/call-run.ts
@@ -100,6 +100,13 @@
     this.finishQuarantined()
   }
 
+  /** Ends the call since the process stops: with an answer, or by cutting off the one that has begun. */
+  handleShutdown (): void {
+    if (this.isFinished) return
+    if (this.attempt !== undefined) this.attemptHistory.hasMaybeRun = true
+    this.finishUnplaced('the grace period of this instance has ended')
+  }
+
   /** Ends a queued call whose maximum queue time has passed. */
   rejectExpired (): void {
     this.finishUnplaced('no capacity became free within the queue time limit')
--- a/packages/clementineloft/src/lib/forwarding/forwarding-entry.ts
+++ b/packages/clementineloft/src/lib/forwarding/forwarding-entry.ts
@@ -23,7 +23,7 @@
 const acceptWhileLeavingMs = 2500
 /** Number of notices of crashes with each report request; successive requests go through all of them. */
 const maxNoticesPerRequest = 1
-/** Fraction of the grace period after which connections are closed even if calls are still running. */
+/** Fraction of the grace period after which calls are ended even if they are still running. */
 const drainGraceRatio = 0.9
 const drainPollIntervalMs = 50
 /** Maximum size of headers that the HTTP parser accepts, in bytes; the configuration may set a lower limit. */
@@ -107,12 +107,14 @@
       await clock.wait(drainPollIntervalMs)
       server.closeIdle()
     }
+    const left = context.runs.size
+    for (const run of [...context.runs]) run.handleShutdown()
     endpoints.stop()
     config.stop()
     reports.close()
     server.close()
     readiness.close()
     context.close()
-    journal.record({ name: 'stopped', data: { left: context.runs.size } })
+    journal.record({ name: 'stopped', data: { left } })
   }
 }
--- a/packages/clementineloft/src/lib/forwarding/running-call.ts
+++ b/packages/clementineloft/src/lib/forwarding/running-call.ts
@@ -30,4 +30,6 @@
   recordSilence: (endpoint: CallEndpoint) => void
   /** Ends the call if calls with its traits are refused now, unless an endpoint has survived its answer. */
   handleQuarantine: () => void
+  /** Ends the call since the process stops: cuts off an answer that has begun, so that the caller can tell. */
+  handleShutdown: () => void
 }
