--- a/packages/stand-ins/src/emulator/emulated-worker.ts
+++ b/packages/stand-ins/src/emulator/emulated-worker.ts
@@ -26,6 +26,8 @@
   parts: PathPart[]
   stalledSinceMs: number | undefined
   response: ServerResponse
+  /** Position of the last event sent; the first is 1. */
+  position: number
 }
 
 const parsePath = (text: string): PathPart[] => text.split(',').map((entry) => {
@@ -173,6 +175,15 @@
     this.fleet.crashTriggers.scheduleRestart(async () => { await this.start() })
   }
 
+  /** Resets the connection of each stream right behind a last event, whose position follows that of the stream. */
+  cutStreams (): void {
+    for (const { response, position, call } of this.streams.values()) {
+      const { socket } = response
+      socket?.write(computeEvent(call, position + 1, this.fleet.eventIdSuffix), () => { socket.resetAndDestroy() })
+    }
+    this.streams.clear()
+  }
+
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const call = await readCall(request)
     if (this.isSilent) return
@@ -252,7 +263,7 @@
         response.end(resumeAnswer.body)
         return
       }
-      const stream: RunningStream = { call, parts, stalledSinceMs: undefined, response }
+      const stream: RunningStream = { call, parts, stalledSinceMs: undefined, response, position: Number(call.headers['last-event-id'] ?? 0) }
       this.streams.set(call.id, stream)
       this.sendEvents(stream, response)
     }
@@ -260,7 +271,6 @@
 
   private sendEvents (stream: RunningStream, response: ServerResponse): void {
     const { call } = stream
-    let position = Number(call.headers['last-event-id'] ?? 0)
     if (this.fleet.isCloseDelimited) {
       response.useChunkedEncodingByDefault = false
       response.shouldKeepAlive = false
@@ -278,9 +288,9 @@
         return
       }
       if (!isCompletePath(stream.parts)) this.fleet.invalidPathCallIds.push(call.id)
-      position++
-      response.write(computeEvent(call, position, this.fleet.eventIdSuffix))
-      if (position < emulatedModel.events) return
+      stream.position++
+      response.write(computeEvent(call, stream.position, this.fleet.eventIdSuffix))
+      if (stream.position < emulatedModel.events) return
       clearInterval(timer)
       this.streams.delete(call.id)
       response.end()
--- a/packages/stand-ins/src/test/platform_test.ts
+++ b/packages/stand-ins/src/test/platform_test.ts
@@ -174,6 +174,21 @@
   await wait(3000)
 })
 
+test('a stream that is reset right behind an event, and ends with its connection, does not look complete in the middle', async () => {
+  platform.fleet.isCloseDelimited = true
+  for (let round = 0; round < 5; round++) {
+    const streams = Array.from({ length: 6 }, async (_, index) => await sendStream(`reset-${round}-${index}`, { address: platform.getEntryAddress(1 + index % 2) }))
+    await wait(100)
+    for (const worker of platform.workers) worker.cutStreams()
+    for (const [index, answer] of (await Promise.all(streams)).entries()) {
+      const whole = computeStream(`reset-${round}-${index}`)
+      assert.ok(whole.startsWith(answer.body), `stream ${index}: ${answer.body.slice(-60)}`)
+      assert.equal(answer.isComplete, answer.body === whole, `stream ${index} ${answer.isComplete ? 'looks complete' : 'looks cut'} with ${answer.body.length} of ${whole.length} bytes`)
+    }
+  }
+  platform.fleet.isCloseDelimited = false
+})
+
 test('a stream that may not be retried is not ended when it stalls while all parts of its path are available', async () => {
   platform.addRoute('once', { pathPrefix: '/once/', type: 'streaming', service: 'model', resumable: true, timeoutMs: 8000, maxAttempts: 1 })
   platform.writeConfig()
