End the calls that a stop leaves with an answer, and take none late

Cause: calls were refused by their heads only, so that a late body started one at any time; the stop closed connections instead of ending calls; and the runtime takes a connection for idle whose answer has ended and is not written. The product's own entry took calls on kept connections until its very end, and cut what was left. Ruled out: new connections late in the grace (refused; no run was counted).

Why this works: one module drains the call server of both entries. What has not started is refused as not run, head or body; what is left ends by its own state machine or, in the product's own protocol, as of unknown outcome; the answers are written before connections close. The field refuseNewCalls moves from ForwardingHost to CallServer.

--- a/packages/clementineloft/src/lib/callers/call-server.ts
+++ b/packages/clementineloft/src/lib/callers/call-server.ts
@@ -21,9 +21,22 @@
   idleTimeoutMs: number
 }
 
+/** A request from its head to the end of its answer. */
+interface OpenRequest<Call> {
+  request: IncomingMessage
+  /** `undefined` if its head could not be read. */
+  call?: Call
+  /** Whether the host has started it, so that it may have run. */
+  isStarted: boolean
+}
+
+const createLeavingError = (): KindError => createError(ErrorKind.leaving, 'this instance is shutting down; retry on a new connection')
+
 /** Serves callers of one protocol. */
 export class CallServer<Call extends CallHead> {
   private readonly server: Server
+  private readonly openRequests = new Map<ServerResponse, OpenRequest<Call>>()
+  private isRefusing = false
 
   /**
    * @param maxHeaderBytes - maximum length of a request head that the parser accepts, in bytes
@@ -54,9 +67,36 @@
     this.server.close()
   }
 
-  /** Closes connections on which no request is in progress. */
+  /** Closes connections on which no request is in progress, unless an answer that has ended is still being written. */
   closeIdle (): void {
-    this.server.closeIdleConnections()
+    // To the server, the connection of such an answer is idle.
+    const isWriting = [...this.openRequests.keys()].some((response) => response.writableEnded)
+    if (!isWriting) this.server.closeIdleConnections()
+  }
+
+  /** Refuses all calls that are not started yet from now on, since too little time is left to serve them. */
+  refuseNewCalls (): void {
+    this.isRefusing = true
+  }
+
+  /** @returns number of requests that are being read, run or answered */
+  countOpen (): number {
+    return this.openRequests.size
+  }
+
+  /** Answers every request that has no answer yet, and cuts off the answers that have begun and not ended. */
+  endOpen (): void {
+    for (const [response, { request, call, isStarted }] of this.openRequests) {
+      const writer = new AnswerWriter(response, () => true)
+      if (writer.isEnded()) continue
+      // The call that owns the response may still write to it.
+      response.on('error', () => {})
+      const error = isStarted
+        ? createError(ErrorKind.outcomeUnknown, 'this instance stopped before the call had an answer')
+        : createLeavingError()
+      if (writer.hasBegun()) writer.cutOff()
+      else writer.sendLocalAnswer(this.protocol.createAnswer(call, error, this.host.getRetryAfterMs()), !request.complete)
+    }
   }
 
   /** Stops listening and closes all connections. */
@@ -67,17 +107,27 @@
 
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedMs = this.clock.now()
-    let call: Call | undefined
+    const open: OpenRequest<Call> = { request, isStarted: false }
+    this.openRequests.set(response, open)
+    response.on('close', () => { this.openRequests.delete(response) })
     try {
-      call = this.protocol.readCall(request)
-      const accepted = this.host.accept(call, arrivedMs)
+      open.call = this.protocol.readCall(request)
+      this.checkServing()
+      const accepted = this.host.accept(open.call, arrivedMs)
       const body = await readBody(request, accepted.maxBodyBytes)
-      if (!response.destroyed) await accepted.start(body, request, response)
+      this.checkServing()
+      if (response.destroyed) return
+      open.isStarted = true
+      await accepted.start(body, request, response)
     } catch (error) {
-      this.refuse(call, error, request, response)
+      this.refuse(open.call, error, request, response)
     }
   }
 
+  private checkServing (): void {
+    if (this.isRefusing) throw createLeavingError()
+  }
+
   private refuse (call: Call | undefined, thrown: unknown, request: IncomingMessage, response: ServerResponse): void {
     const error = thrown instanceof KindError ? thrown : createError(ErrorKind.internal, getErrorMessage(thrown), { cause: thrown })
     this.host.recordRefusal(call, error)
--- a/packages/clementineloft/src/lib/callers/entry.ts
+++ b/packages/clementineloft/src/lib/callers/entry.ts
@@ -4,6 +4,7 @@
 import { ApiKeyIndex } from './api-key-index.js'
 import { CallServer } from './call-server.js'
 import type { CallHead } from './caller-protocol.js'
+import { drainCalls } from './drain-calls.js'
 import { CallRouter } from '../endpoints/call-router.js'
 import { CompletionHandler } from './completion-handler.js'
 import { EndpointDirectory } from '../endpoints/endpoint-directory.js'
@@ -75,9 +76,10 @@
   async stop (): Promise<void> {
     this.runtime.startLeaving()
     this.server.stopListening()
-    const drainTimeoutMs = Math.max(this.settings.shutdown.grace_ms, this.settings.callers.default_deadline_ms)
-    await this.runtime.drain(() => this.runs.countRuns() + this.services.countCalls(), drainTimeoutMs)
+    const limitMs = Math.max(this.settings.shutdown.grace_ms, this.settings.callers.default_deadline_ms)
+    await drainCalls({ server: this.server, clock: this.runtime.context.clock, limitMs, acceptsConnections: false, endCalls: () => {} })
     this.server.close()
+    await this.runtime.drain(() => this.runs.countRuns() + this.services.countCalls(), 0)
     this.runs.close()
     this.calls.close()
   }
--- a/packages/clementineloft/src/lib/forwarding/forwarding-entry.ts
+++ b/packages/clementineloft/src/lib/forwarding/forwarding-entry.ts
@@ -4,6 +4,7 @@
 import { Freshness } from '@clementineloft/coordination'
 import { RouteTable } from '@clementineloft/routing'
 import { CallServer } from '../callers/call-server.js'
+import { drainCalls } from '../callers/drain-calls.js'
 import { ReadinessServer } from '../callers/readiness-server.js'
 import { ForwardingContext } from './forwarding-context.js'
 import { ForwardingHost } from './forwarding-host.js'
@@ -16,16 +17,8 @@
 
 /** Factor on the configured retry ratio: it leaves a margin, since callers move between entries. */
 const retryRatioFactor = 0.8
-/**
- * Time for which a leaving entry still accepts connections, in milliseconds: the platform probes readiness twice, a
- * second apart, before it stops sending them.
- */
-const acceptWhileLeavingMs = 2500
 /** Number of notices of crashes with each report request; successive requests go through all of them. */
 const maxNoticesPerRequest = 1
-/** Fraction of the grace period after which calls are ended even if they are still running. */
-const drainGraceRatio = 0.9
-const drainPollIntervalMs = 50
 /** Maximum size of headers that the HTTP parser accepts, in bytes; the configuration may set a lower limit. */
 const maxHeaderBytes = 65_536
 
@@ -99,16 +92,15 @@
   return async () => {
     context.isLeaving = true
     journal.record({ name: 'leaving', data: { calls: context.runs.size } })
-    const startMs = clock.now()
-    await clock.wait(acceptWhileLeavingMs)
-    host.refuseNewCalls()
-    server.closeIdle()
-    while (context.runs.size > 0 && clock.now() - startMs < settings.shutdown.grace_ms * drainGraceRatio) {
-      await clock.wait(drainPollIntervalMs)
-      server.closeIdle()
-    }
-    const left = context.runs.size
-    for (const run of [...context.runs]) run.handleShutdown()
+    const left = await drainCalls({
+      server,
+      clock,
+      limitMs: settings.shutdown.grace_ms,
+      acceptsConnections: true,
+      endCalls: () => {
+        for (const run of [...context.runs]) run.handleShutdown()
+      }
+    })
     endpoints.stop()
     config.stop()
     reports.close()
--- a/packages/clementineloft/src/lib/forwarding/forwarding-host.ts
+++ b/packages/clementineloft/src/lib/forwarding/forwarding-host.ts
@@ -22,7 +22,6 @@
 /** Admits calls by the current routes. */
 export class ForwardingHost extends CallHost<ForwardedCall> {
   private routes: RouteTable | undefined
-  private isRefusing = false
 
   constructor (private readonly context: ForwardingContext) {
     super()
@@ -33,14 +32,8 @@
     this.routes = routes
   }
 
-  /** Refuses all calls from now on, since too little of the grace period is left to serve them. */
-  refuseNewCalls (): void {
-    this.isRefusing = true
-  }
-
   override accept (call: ForwardedCall, arrivedMs: number): AcceptedCall {
     const { context, routes } = this
-    if (this.isRefusing) throw createError(ErrorKind.leaving, 'this instance is shutting down; retry on a new connection')
     if (routes === undefined) throw createError(ErrorKind.notReady, 'this instance has not received a configuration yet')
     const route = routes.findRoute(call.host, call.path)
     if (route === undefined) throw createError(ErrorKind.notFound, `no route matches host "${call.host}" and path "${call.path}"`)
--- a/packages/stand-ins/src/emulator/emulated-caller.ts
+++ b/packages/stand-ins/src/emulator/emulated-caller.ts
@@ -21,6 +21,8 @@
   agent?: Agent
   /** Time after which the caller closes the connection, in milliseconds. */
   disconnectAfterMs?: number
+  /** Time from the head of the request to its body, in milliseconds. */
+  bodyDelayMs?: number
   /** Receives each chunk of the body as it arrives. */
   handleChunk?: (chunk: string) => void
 }
@@ -78,6 +80,11 @@
     })
   })
   outgoing.on('error', () => { resolve(answer) })
-  outgoing.end(body)
+  if (call.bodyDelayMs === undefined) {
+    outgoing.end(body)
+  } else {
+    outgoing.flushHeaders()
+    setTimeout(() => { outgoing.end(body) }, call.bodyDelayMs)
+  }
   if (call.disconnectAfterMs !== undefined) setTimeout(() => { outgoing.destroy() }, call.disconnectAfterMs)
 })
--- a/packages/stand-ins/src/emulator/emulated-service.ts
+++ b/packages/stand-ins/src/emulator/emulated-service.ts
@@ -23,6 +23,8 @@
   private readonly server: Server = createServer((request, response) => { void this.handle(request, response) })
   /** Number of next answers whose head breaks off in the middle. */
   cutHeads = 0
+  /** Returns the time that a call takes, by its target, in milliseconds. */
+  getProcessingMs: (target: string) => number = () => processingMs
   /** Pause that it asks for with each refusal, in seconds; it refuses all calls while this is set. */
   pauseS: number | undefined
   /** Changes the head of each answer before it is sent, as latin1 text. */
@@ -104,7 +106,7 @@
     }
     this.runs.push(call.id)
     this.running++
-    await wait(processingMs)
+    await wait(this.getProcessingMs(call.target))
     this.running--
     if (this.crashTriggers.isTriggeredBy(call)) {
       this.crashAndRestart()
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -4,6 +4,20 @@
  */
 
 export const mutants = [
+  {
+    mechanism: 'a stopping server refuses calls whose bodies come late',
+    file: 'clementineloft/dist/lib/callers/drain-calls.js',
+    from: 'server.refuseNewCalls();',
+    to: '',
+    test: 'clementineloft/dist/test/drain-calls_test.js'
+  },
+  {
+    mechanism: 'an answer that has ended is written before its connection closes',
+    file: 'clementineloft/dist/lib/callers/call-server.js',
+    from: 'if (!isWriting)',
+    to: '',
+    test: 'clementineloft/dist/test/drain-calls_test.js'
+  },
   {
     mechanism: 'an endpoint that asks for a pause gets no calls',
     file: 'routing/dist/lib/calls/endpoint-health.js',
