--- a/packages/stand-ins/src/lib/relay.ts
+++ b/packages/stand-ins/src/lib/relay.ts
@@ -68,19 +68,22 @@
   private forward (from: Socket, to: Socket, droppingFault: RelayFault): void {
     this.sockets.add(from)
     from.on('data', (bytes) => { this.deliver(bytes, from, to, droppingFault) })
+    let isReset = false
+    // A reset that arrives with the last bytes is reported as an end; the connection has no peer any more then.
+    from.prependListener('end', () => { isReset = from.remoteAddress === undefined })
     from.on('close', (hadError) => {
       this.sockets.delete(from)
       const isSuppressed = this.fault === RelayFault.silent || this.fault === droppingFault
       if (isSuppressed) return
-      if (this.fault === RelayFault.delayed) setTimeout(() => { this.finish(to, hadError) }, delayMs)
-      else this.finish(to, hadError)
+      if (this.fault === RelayFault.delayed) setTimeout(() => { this.finish(to, hadError || isReset) }, delayMs)
+      else this.finish(to, hadError || isReset)
     })
     from.on('error', () => { /* The close event follows. */ })
   }
 
   /** Forwards a reset as a reset: an answer without Content-Length that ends normally would look complete. */
-  private finish (to: Socket, hadError: boolean): void {
-    if (hadError) to.resetAndDestroy()
+  private finish (to: Socket, wasReset: boolean): void {
+    if (wasReset) to.resetAndDestroy()
     else to.destroySoon()
   }
 
--- a/packages/stand-ins/src/test/relay_test.ts
+++ b/packages/stand-ins/src/test/relay_test.ts
@@ -22,13 +22,15 @@
   server.close()
 })
 
-/** Sends a byte. @returns the answer, and whether the connection ended with an error */
+/** Sends a byte. @returns the answer, and whether the connection ended with an error or has no peer at its end */
 const exchange = (): Promise<{ text: string, hadError: boolean }> => new Promise((resolve) => {
   const socket = connect(listen.port, host)
   let text = ''
   socket.on('data', (bytes) => { text += bytes.toString() })
   socket.on('error', () => { /* The close event follows. */ })
-  socket.on('close', (hadError) => { resolve({ text, hadError }) })
+  let isReset = false
+  socket.prependListener('end', () => { isReset = socket.remoteAddress === undefined })
+  socket.on('close', (hadError) => { resolve({ text, hadError: hadError || isReset }) })
   socket.write('?')
 })
 
@@ -42,6 +44,12 @@
   assert.deepEqual(await exchange(), { text: 'half', hadError: true })
 })
 
+test('a reset that arrives with the last bytes is forwarded as a reset, not as an end', async () => {
+  accept = (socket) => { socket.once('data', () => { socket.write('half', () => { socket.resetAndDestroy() }) }) }
+  // The bytes may be lost with the connection.
+  for (let call = 0; call < 50; call++) assert.equal((await exchange()).hadError, true)
+})
+
 test('a muted link forwards requests and drops answers until the fault is cleared', async () => {
   let received = 0
   accept = (socket) => { socket.on('data', () => { received++; socket.write('answer') }) }
