--- a/review/harness-2/system.mjs
+++ b/review/harness-2/system.mjs
@@ -195,6 +195,10 @@
     this.#children.get(name).kill(signal)
   }
 
+  getPid (name) {
+    return this.#children.get(name).pid
+  }
+
   /** Kills a process and starts it again after a while, as the platform does. */
   async killAndRestart (name, delayMs) {
     const child = this.#children.get(name)
