--- a/review/harness-2/system.mjs
+++ b/review/harness-2/system.mjs
@@ -136,13 +136,17 @@
     return ackMs
   }
 
-  async addPlainWorkers (count, service = 'meetup-desk') {
+  /** @returns the workers that were added */
+  async addPlainWorkers (count, service = 'meetup-desk', WorkerClass = PlainWorker) {
+    const added = []
     for (let index = 0; index < count; index++) {
-      const worker = new PlainWorker({ id: `i-${service}-${index + 1}`, service, host: this.nextHost(), port: this.#ports.endpoint, zone: 'prairie-a' })
+      const worker = new WorkerClass({ id: `i-${service}-${index + 1}`, service, host: this.nextHost(), port: this.#ports.endpoint, zone: 'prairie-a' })
       await worker.start()
       this.store.startHeartbeats(worker.id, () => worker.createEntry(), heartbeatMs)
-      this.plainWorkers.push(worker)
+      added.push(worker)
     }
+    this.plainWorkers.push(...added)
+    return added
   }
 
   /** Starts model workers, each with a sidecar beside it. */
@@ -195,8 +199,14 @@
     this.#children.get(name).kill(signal)
   }
 
-  getPid (name) {
-    return this.#children.get(name).pid
+  /** @returns resident memory of a process, in MB; 0 if it has ended */
+  readMemoryMb (name) {
+    try {
+      const status = readFileSync(`/proc/${this.#children.get(name).pid}/status`, 'utf8')
+      return Number(/^VmRSS:\s+(\d+) kB/m.exec(status)?.[1] ?? 0) * 1024 / 1e6
+    } catch {
+      return 0
+    }
   }
 
   /** Kills a process and starts it again after a while, as the platform does. */
